Lay out the workspace, the model of the tables and the outside protocols

Cause: nothing exists yet; every further part needs shared types and protocols to build against. Change: Maven workspace of five modules, detekt with formatting failing the build, ids, tables, verdicts, settings and the page of protocols towards the platform, engines and plain services. Ruled out: status numbers inside the coordination module, which knows nothing of HTTP. Conclusion: the empty workspace builds, lints and runs its test.

--- /dev/null
+++ b/entry/src/main/kotlin/pistachiopass/entry/settings/Settings.kt
@@ -0,0 +1,61 @@
+/** Settings of the daemon, read from one JSON file at start. */
+package pistachiopass.entry.settings
+
+import kotlinx.serialization.Serializable
+import pistachiopass.model.DataCentreId
+import pistachiopass.model.InstanceId
+
+/** Holds all settings of one instance; fields without a default must be given. */
+@Serializable
+public data class Settings(
+    val instance: InstanceId,
+    val dataCentre: DataCentreId,
+    /** Host and port on which callers are served. */
+    val httpAddress: String,
+    /** Host and port on which the other instances are served. */
+    val peerAddress: String,
+    /** Host and port for metrics, health, readiness and status. */
+    val adminAddress: String,
+    /** Host and port of the platform's configuration service. */
+    val platformAddress: String,
+    /** Key shared by all instances, in base64, at least 32 bytes; authenticates peers and signs keys and event ids. */
+    val sharedKey: String,
+    val limits: LimitSettings = LimitSettings(),
+    val tls: TlsSettings? = null,
+)
+
+/** Bounds on what the instance holds for callers. */
+@Serializable
+public data class LimitSettings(
+    /** Longest request body that is read. */
+    val bodyBytes: Long = DEFAULT_BODY_MEBIBYTES * MEBIBYTE_BYTES,
+    /** Memory for request bodies and stream buffers together. */
+    val heldBytes: Long = DEFAULT_HELD_MEBIBYTES * MEBIBYTE_BYTES,
+    /** Buffer of one stream. */
+    val streamBufferBytes: Int = DEFAULT_STREAM_BUFFER_KIBIBYTES * KIBIBYTE_BYTES,
+    /** Longest time for which a caller may take no byte of its answer. */
+    val stallMillis: Long = 30_000,
+    /** Longest silence on an open connection to an endpoint. */
+    val readIdleMillis: Long = 5_000,
+    /** Longest time from the stop signal to the end of the process. */
+    val stopMillis: Long = 120_000,
+)
+
+/** Keys for TLS towards callers and between instances. */
+@Serializable
+public data class TlsSettings(
+    /** PKCS #12 file with the instance's key and certificate chain. */
+    val keyStoreFile: String,
+    /** File that holds the password of the key store. */
+    val keyStorePasswordFile: String,
+    /** PKCS #12 file with the certificates that peers are checked against. */
+    val trustStoreFile: String,
+    /** File that holds the password of the trust store. */
+    val trustStorePasswordFile: String,
+)
+
+private const val KIBIBYTE_BYTES: Int = 1024
+private const val MEBIBYTE_BYTES: Long = 1024L * 1024
+private const val DEFAULT_BODY_MEBIBYTES: Long = 16
+private const val DEFAULT_HELD_MEBIBYTES: Long = 64
+private const val DEFAULT_STREAM_BUFFER_KIBIBYTES: Int = 64
