--- /dev/null
+++ b/coordination/src/main/kotlin/pistachiopass/routing/EndpointChooser.kt
@@ -0,0 +1,137 @@
+/**
+ * Choice of the endpoint for a request, with the reason for each candidate.
+ *
+ * The daemon and `pistachioctl explain` run the same code, so that an explanation is what would have happened.
+ */
+package pistachiopass.routing
+
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import pistachiopass.model.Endpoint
+import pistachiopass.model.EndpointId
+import pistachiopass.model.EndpointState
+import pistachiopass.model.ModelName
+import pistachiopass.model.Pool
+import pistachiopass.model.PoolKind
+import kotlin.math.ceil
+
+/** Says why a candidate was chosen or passed over. */
+@Serializable
+public enum class CandidateReason {
+    @SerialName("chosen")
+    CHOSEN,
+
+    @SerialName("would do as well")
+    ELIGIBLE,
+
+    @SerialName("data centre is out")
+    DATA_CENTRE_OUT,
+
+    @SerialName("endpoint is leaving")
+    LEAVING,
+
+    @SerialName("endpoint does not answer")
+    UNREACHABLE,
+
+    @SerialName("endpoint does not serve the model")
+    MODEL_MISSING,
+
+    @SerialName("request exceeds the endpoint's memory")
+    TOO_SMALL,
+
+    @SerialName("no room at the moment")
+    FULL,
+
+    @SerialName("no room during the cold start")
+    COLD_FULL,
+}
+
+/** Tells what became of one endpoint of the pool. */
+@Serializable
+public data class Candidate(val endpoint: EndpointId, val reason: CandidateReason)
+
+/** Holds the outcome of a choice: the endpoint, or null, and the reason for every candidate in order of preference. */
+public data class Choice(val endpoint: Endpoint?, val candidates: List<Candidate>) {
+    /** Whether no endpoint of the pool could ever hold the request, so that waiting does not help. */
+    val exceedsEveryEndpoint: Boolean
+        get() = candidates.isNotEmpty() && candidates.all { it.reason == CandidateReason.TOO_SMALL }
+}
+
+/** Chooses an endpoint of a pool for a request. */
+public fun interface EndpointChooser {
+    /** Returns the choice; it depends on the arguments only. */
+    public fun choose(facts: RequestFacts, pool: Pool, view: FleetView): Choice
+}
+
+/**
+ * Returns a chooser that prefers endpoints of the own data centre and among them the first by rendezvous on workspace
+ * and prefix whose load stays under [loadFactor] times the average.
+ *
+ * Bounded load follows Mirrokni, Thorup and Zadimoghaddam, "Consistent hashing with bounded loads", 2016.
+ */
+public fun affinityChooser(loadFactor: Double = DEFAULT_LOAD_FACTOR): EndpointChooser {
+    require(loadFactor >= 1.0) { "loadFactor must be at least 1, was $loadFactor" }
+    return EndpointChooser { facts, pool, view -> chooseByAffinity(facts, pool, view, loadFactor) }
+}
+
+private fun chooseByAffinity(facts: RequestFacts, pool: Pool, view: FleetView, loadFactor: Double): Choice {
+    val ranked = pool.endpoints.rankedFor(facts.affinityKey()) { it.id.value }
+    val (near, far) = ranked.partition { it.dataCentre == view.dataCentre }
+    val ordered = near + far
+    val reasons = ordered.associateWith { candidateReason(it, facts, pool.kind, view) }
+    val chosen = underBound(near, reasons, view, loadFactor) ?: underBound(far, reasons, view, loadFactor)
+    return Choice(
+        endpoint = chosen,
+        candidates = ordered.map {
+            Candidate(
+                it.id,
+                if (it == chosen) CandidateReason.CHOSEN else reasons.getValue(it)
+            )
+        },
+    )
+}
+
+private fun RequestFacts.affinityKey(): String = "$workspace/$prefixDigest"
+
+private fun underBound(
+    ranked: List<Endpoint>,
+    reasons: Map<Endpoint, CandidateReason>,
+    view: FleetView,
+    loadFactor: Double,
+): Endpoint? {
+    val eligible = ranked.filter { reasons[it] == CandidateReason.ELIGIBLE }
+    val averageSlots = eligible.sumOf { view.loadOf(it.id).heldSlots + 1 }.toDouble() / eligible.size.coerceAtLeast(1)
+    val boundSlots = ceil(averageSlots * loadFactor)
+    return eligible.firstOrNull { view.loadOf(it.id).heldSlots + 1 <= boundSlots } ?: eligible.firstOrNull()
+}
+
+/** Returns why [endpoint] can or cannot take the request now; never [CandidateReason.CHOSEN]. */
+public fun candidateReason(
+    endpoint: Endpoint,
+    facts: RequestFacts,
+    kind: PoolKind,
+    view: FleetView,
+): CandidateReason {
+    val load = view.loadOf(endpoint.id)
+    val neededTokens = if (kind == PoolKind.MODEL) facts.tokens else 0
+    return when {
+        kind == PoolKind.MODEL && neededTokens > endpoint.budgetTokens -> CandidateReason.TOO_SMALL
+        endpoint.dataCentre in view.dataCentresOut -> CandidateReason.DATA_CENTRE_OUT
+        endpoint.state == EndpointState.LEAVING -> CandidateReason.LEAVING
+        !load.reachable -> CandidateReason.UNREACHABLE
+        kind == PoolKind.MODEL && !endpoint.serves(facts.model) -> CandidateReason.MODEL_MISSING
+        load.cold && !endpoint.hasColdRoom(load, neededTokens) -> CandidateReason.COLD_FULL
+        !endpoint.hasRoom(load, neededTokens) -> CandidateReason.FULL
+        else -> CandidateReason.ELIGIBLE
+    }
+}
+
+private fun Endpoint.serves(model: ModelName?): Boolean = model == null || models.isEmpty() || model in models
+
+private fun Endpoint.hasRoom(load: EndpointLoad, neededTokens: Long): Boolean =
+    load.heldSlots < slots && load.heldTokens + neededTokens <= budgetTokens
+
+private fun Endpoint.hasColdRoom(load: EndpointLoad, neededTokens: Long): Boolean =
+    load.heldSlots < coldSlots && load.heldTokens + neededTokens <= coldBudgetTokens
+
+private const val DEFAULT_LOAD_FACTOR: Double = 1.25
