--- a/coordination/src/test/kotlin/pistachiopass/routing/RoutingTest.kt
+++ b/coordination/src/test/kotlin/pistachiopass/routing/RoutingTest.kt
@@ -72,8 +72,12 @@
     companion object {
         private fun route(name: String, match: RouteMatch) = Route(RouteName(name), match, PoolName("p"))
 
-        private fun facts(promptTokens: Long = 0, model: String? = "m1", workspace: String = "w1", path: String = "/v1/chat") =
-            RequestFacts(path, WorkspaceId(workspace), model?.let(::ModelName), promptTokens)
+        private fun facts(
+            promptTokens: Long = 0,
+            model: String? = "m1",
+            workspace: String = "w1",
+            path: String = "/v1/chat",
+        ) = RequestFacts(path, WorkspaceId(workspace), model?.let(::ModelName), promptTokens)
 
         @JvmStatic
         fun routeCases() = listOf(
