Write the filter chain and the clients of the daemon (not yet started by Main)

Cause: the thin path needs a daemon; this is its request path, to be joined with logging and tables.

--- a/coordination/src/main/kotlin/pistachiopass/model/Verdict.kt
+++ b/coordination/src/main/kotlin/pistachiopass/model/Verdict.kt
@@ -77,6 +77,8 @@
     val verdict: Verdict,
     val message: String,
     val retryAfterMillis: Long? = null,
+    /** A fresh key for the caller, given where a key was required. */
+    val idempotencyKey: String? = null,
 )
 
 /** Names the response header that carries [Verdict.text]. */
--- /dev/null
+++ b/entry/src/main/kotlin/pistachiopass/entry/body/RequestBody.kt
@@ -0,0 +1,84 @@
+/** Request bodies, read once and held once against the memory total. */
+package pistachiopass.entry.body
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import io.ktor.utils.io.ByteReadChannel
+import io.ktor.utils.io.readAvailable
+import pistachiopass.model.Failure
+import pistachiopass.model.FailureCode
+import pistachiopass.model.Verdict
+import java.io.ByteArrayOutputStream
+
+/** Holds a body and its reservation until [close]. */
+public class RequestBody internal constructor(
+    public val bytes: ByteArray,
+    private val reservedBytes: Long,
+    private val memory: HeldMemory,
+) : AutoCloseable {
+    override fun close(): Unit = memory.release(reservedBytes)
+}
+
+/** Reads bodies of at most [maxBodyBytes] within the total of [memory]. */
+public class BodyReader(private val maxBodyBytes: Long, private val memory: HeldMemory) {
+    /** Reads the whole body; [declaredBytes] is the content length when the caller stated it. */
+    public suspend fun read(channel: ByteReadChannel, declaredBytes: Long?): Result<RequestBody, Failure> {
+        if (declaredBytes != null && declaredBytes > maxBodyBytes) return Err(tooLong(declaredBytes))
+        val reservation = Reservation(memory)
+        var complete = false
+        try {
+            val failure = reservation.grow(declaredBytes ?: 0)
+            if (failure != null) return Err(failure)
+            return readReserved(channel, reservation).also { complete = it.isOk }
+        } finally {
+            if (!complete) reservation.release()
+        }
+    }
+
+    private suspend fun readReserved(channel: ByteReadChannel, reservation: Reservation): Result<RequestBody, Failure> {
+        val buffer = ByteArrayOutputStream(reservation.bytes.toInt().coerceAtLeast(BLOCK_BYTES))
+        val block = ByteArray(BLOCK_BYTES)
+        var failure: Failure? = null
+        while (failure == null) {
+            val count = channel.readAvailable(block)
+            if (count < 0) break
+            buffer.write(block, 0, count)
+            failure = reservation.growTo(buffer.size().toLong()) ?: tooLongOrNull(buffer.size().toLong())
+        }
+        return failure?.let { Err(it) } ?: Ok(RequestBody(buffer.toByteArray(), reservation.bytes, memory))
+    }
+
+    private fun tooLongOrNull(bytes: Long): Failure? = if (bytes > maxBodyBytes) tooLong(bytes) else null
+
+    private fun tooLong(bytes: Long): Failure = Failure(
+        FailureCode.PROMPT_TOO_LARGE,
+        Verdict.NOT_RUN,
+        "body of at least $bytes bytes exceeds the limit of $maxBodyBytes bytes",
+    )
+}
+
+private class Reservation(private val memory: HeldMemory) {
+    var bytes: Long = 0
+        private set
+
+    fun growTo(total: Long): Failure? = if (total > bytes) grow(total - bytes) else null
+
+    fun grow(more: Long): Failure? {
+        if (!memory.tryReserve(more)) return memoryFull(memory)
+        bytes += more
+        return null
+    }
+
+    fun release() = memory.release(bytes)
+}
+
+private fun memoryFull(memory: HeldMemory): Failure = Failure(
+    FailureCode.OVERLOADED,
+    Verdict.NOT_RUN,
+    "the instance holds ${memory.heldBytes} of ${memory.limitBytes} bytes for callers",
+    retryAfterMillis = MEMORY_RETRY_MILLIS,
+)
+
+private const val BLOCK_BYTES: Int = 16 * 1024
+private const val MEMORY_RETRY_MILLIS: Long = 1_000
--- /dev/null
+++ b/entry/src/main/kotlin/pistachiopass/entry/endpoint/EndpointClient.kt
@@ -0,0 +1,153 @@
+/** HTTP towards endpoints. Nothing is ever sent twice here; whoever retries decides by the verdict. */
+package pistachiopass.entry.endpoint
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import io.ktor.client.HttpClient
+import io.ktor.client.engine.cio.CIO
+import io.ktor.client.engine.cio.endpoint
+import io.ktor.client.network.sockets.ConnectTimeoutException
+import io.ktor.client.plugins.HttpTimeout
+import io.ktor.client.plugins.timeout
+import io.ktor.client.request.HttpRequestBuilder
+import io.ktor.client.request.delete
+import io.ktor.client.request.get
+import io.ktor.client.request.prepareRequest
+import io.ktor.client.statement.HttpResponse
+import io.ktor.client.statement.bodyAsText
+import io.ktor.http.HttpHeaders
+import io.ktor.http.HttpStatusCode
+import io.ktor.http.isSuccess
+import kotlinx.io.IOException
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.json.Json
+import pistachiopass.model.Endpoint
+import pistachiopass.model.EndpointId
+import pistachiopass.model.Failure
+import pistachiopass.model.FailureCode
+import pistachiopass.model.ModelName
+import pistachiopass.model.RequestId
+import pistachiopass.model.StartId
+import pistachiopass.model.Verdict
+import java.net.ConnectException
+
+/** Speaks to endpoints; one client serves all of them. */
+public class EndpointClient internal constructor(private val client: HttpClient) : AutoCloseable {
+    /**
+     * Sends one request and passes the response to [receive]; [onSend] runs just before the first byte may leave.
+     *
+     * Fails with `not run` when no connection came about or the endpoint refused the request with 503 and
+     * `Retry-After`, and with `may have run` after any other error.
+     */
+    public suspend fun <T> exchange(
+        endpoint: Endpoint,
+        uri: String,
+        build: HttpRequestBuilder.() -> Unit,
+        receive: suspend (HttpResponse) -> Result<T, Failure>,
+    ): Result<T, Failure> =
+        try {
+            client.prepareRequest("http://${endpoint.address}$uri", build).execute { response ->
+                if (response.isRefusal()) Err(endpoint.refused(response)) else receive(response)
+            }
+        } catch (exception: ConnectException) {
+            Err(endpoint.unreachable(exception))
+        } catch (exception: ConnectTimeoutException) {
+            Err(endpoint.unreachable(exception))
+        } catch (exception: IOException) {
+            Err(endpoint.broken(exception))
+        }
+
+    /** Returns the load report of an endpoint, or null when it gives none in time. */
+    public suspend fun loadOrNull(endpoint: Endpoint): LoadReport? =
+        try {
+            val response = client.get("http://${endpoint.address}/v1/load") {
+                timeout { requestTimeoutMillis = LOAD_TIMEOUT_MILLIS }
+            }
+            if (response.status.isSuccess()) lenientJson.decodeFromString(response.bodyAsText()) else null
+        } catch (_: IOException) {
+            null
+        } catch (_: IllegalArgumentException) {
+            null
+        }
+
+    /** Cancels a request and returns whether the endpoint confirmed that it holds nothing for it any more. */
+    public suspend fun cancel(endpoint: Endpoint, request: RequestId): Boolean =
+        try {
+            val response = client.delete("http://${endpoint.address}/v1/requests/$request") {
+                timeout { requestTimeoutMillis = LOAD_TIMEOUT_MILLIS }
+            }
+            response.status.isSuccess() || response.status == HttpStatusCode.NotFound
+        } catch (_: IOException) {
+            false
+        }
+
+    override fun close(): Unit = client.close()
+}
+
+/** Returns a client that gives up a connection after [readIdleMillis] of silence. */
+public fun endpointClientOf(readIdleMillis: Long): EndpointClient =
+    EndpointClient(
+        HttpClient(CIO) {
+            expectSuccess = false
+            followRedirects = false
+            engine {
+                requestTimeout = 0
+                maxConnectionsCount = MAX_CONNECTIONS
+                endpoint {
+                    maxConnectionsPerRoute = MAX_CONNECTIONS_PER_ENDPOINT
+                    connectAttempts = 1
+                }
+            }
+            install(HttpTimeout) {
+                connectTimeoutMillis = CONNECT_TIMEOUT_MILLIS
+                socketTimeoutMillis = readIdleMillis
+            }
+        },
+    )
+
+/** What an endpoint reports of its load; it lags behind the truth. */
+@Serializable
+public data class LoadReport(
+    val endpoint: EndpointId,
+    val startId: StartId,
+    val cold: Boolean = false,
+    val capacityTokens: Long = 0,
+    val usedTokens: Long = 0,
+    val slots: Int = 0,
+    val requests: List<ReportedRequest> = emptyList(),
+    val models: List<ModelName> = emptyList(),
+    val completedTokens: Long = 0,
+    val ageMillis: Long = 0,
+)
+
+/** One request that an endpoint holds. */
+@Serializable
+public data class ReportedRequest(val id: RequestId, val tokens: Long = 0, val state: String = "")
+
+private fun HttpResponse.isRefusal(): Boolean =
+    status == HttpStatusCode.ServiceUnavailable && HttpHeaders.RetryAfter in headers
+
+private fun Endpoint.refused(response: HttpResponse): Failure = Failure(
+    FailureCode.NO_ENDPOINT,
+    Verdict.NOT_RUN,
+    "endpoint $id refused the request",
+    retryAfterMillis = response.headers[HttpHeaders.RetryAfter]?.toLongOrNull()?.times(MILLIS_PER_SECOND),
+)
+
+private fun Endpoint.unreachable(cause: Exception): Failure =
+    Failure(FailureCode.NO_ENDPOINT, Verdict.NOT_RUN, "endpoint $id cannot be reached: ${cause::class.simpleName}")
+
+private fun Endpoint.broken(cause: Exception): Failure = Failure(
+    FailureCode.ENDPOINT_FAILED,
+    Verdict.MAY_HAVE_RUN,
+    "connection to endpoint $id broke: ${cause::class.simpleName}",
+)
+
+private val lenientJson: Json = Json { ignoreUnknownKeys = true }
+
+private const val CONNECT_TIMEOUT_MILLIS: Long = 1_000
+private const val LOAD_TIMEOUT_MILLIS: Long = 1_000
+private const val MAX_CONNECTIONS: Int = 4_096
+private const val MAX_CONNECTIONS_PER_ENDPOINT: Int = 1_024
+private const val MILLIS_PER_SECOND: Long = 1_000
--- /dev/null
+++ b/entry/src/main/kotlin/pistachiopass/entry/endpoint/SseReader.kt
@@ -0,0 +1,32 @@
+/**
+ * Reading of server-sent events from an engine.
+ *
+ * The client library's own reader puts no bound on the length of a line; this one does, since an endpoint must not
+ * be able to fill the instance's memory.
+ */
+package pistachiopass.entry.endpoint
+
+import io.ktor.utils.io.ByteReadChannel
+import io.ktor.utils.io.readUTF8Line
+
+/** Holds one server-sent event. */
+public data class SseEvent(val id: String?, val data: String)
+
+/** Returns the next event, or null at the end of the stream. Fails when a line exceeds [maxLineBytes]. */
+public suspend fun ByteReadChannel.readSseEventOrNull(maxLineBytes: Int = MAX_SSE_LINE_BYTES): SseEvent? {
+    var id: String? = null
+    val data = ArrayList<String>(1)
+    while (true) {
+        val line = readUTF8Line(maxLineBytes) ?: return null
+        when {
+            line.isEmpty() -> if (data.isNotEmpty()) return SseEvent(id, data.joinToString("\n"))
+            line.startsWith("id:") -> id = line.fieldValue("id:")
+            line.startsWith("data:") -> data += line.fieldValue("data:")
+        }
+    }
+}
+
+private fun String.fieldValue(prefix: String): String = removePrefix(prefix).removePrefix(" ")
+
+/** Longest line of an event that is accepted. */
+public const val MAX_SSE_LINE_BYTES: Int = 64 * 1024
--- /dev/null
+++ b/entry/src/main/kotlin/pistachiopass/entry/filter/BodyFilter.kt
@@ -0,0 +1,52 @@
+/** Reads the body of each request within the memory limits and finds the facts that routing needs. */
+package pistachiopass.entry.filter
+
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.andThen
+import com.github.michaelbull.result.map
+import io.ktor.http.HttpHeaders
+import pistachiopass.entry.body.BodyReader
+import pistachiopass.entry.body.RequestBody
+import pistachiopass.entry.body.readChatRequest
+import pistachiopass.entry.http.Completion
+import pistachiopass.entry.http.Exchange
+import pistachiopass.entry.http.Filter
+import pistachiopass.entry.http.Handler
+import pistachiopass.entry.http.RequestContext
+import pistachiopass.model.Failure
+import pistachiopass.routing.RequestFacts
+
+/** Reads bodies with [reader] and holds each until its request has ended. */
+public class BodyFilter(private val reader: BodyReader) : Filter {
+    override suspend fun filter(context: RequestContext, next: Handler): Result<Completion, Failure> {
+        val exchange = context.exchange
+        val declaredBytes = exchange.headers[HttpHeaders.ContentLength]?.toLongOrNull()
+        return reader.read(exchange.body, declaredBytes).andThen { body ->
+            body.use { handleWith(context, body, next) }
+        }
+    }
+
+    private suspend fun handleWith(
+        context: RequestContext,
+        body: RequestBody,
+        next: Handler,
+    ): Result<Completion, Failure> =
+        factsOf(context.exchange, body).andThen { facts -> next.handle(context.copy(body = body, facts = facts)) }
+
+    private fun factsOf(exchange: Exchange, body: RequestBody): Result<RequestFacts, Failure> {
+        val plain = RequestFacts(exchange.path, exchange.workspace)
+        if (!exchange.path.startsWith(CHAT_COMPLETIONS_PATH)) return Ok(plain)
+        return readChatRequest(body.bytes).map { chat ->
+            plain.copy(
+                model = chat.model,
+                promptTokens = chat.promptTokens,
+                answerTokens = chat.answerTokens,
+                prefixDigest = chat.prefixDigest,
+            )
+        }
+    }
+}
+
+/** Path under which callers send prompts. */
+public const val CHAT_COMPLETIONS_PATH: String = "/v1/chat/completions"
--- /dev/null
+++ b/entry/src/main/kotlin/pistachiopass/entry/filter/RouteFilter.kt
@@ -0,0 +1,64 @@
+/** Finds the route of each request, joins it with its pool and fixes the deadline. */
+package pistachiopass.entry.filter
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.andThen
+import kotlinx.coroutines.withTimeoutOrNull
+import pistachiopass.entry.http.Completion
+import pistachiopass.entry.http.Filter
+import pistachiopass.entry.http.Handler
+import pistachiopass.entry.http.RequestContext
+import pistachiopass.entry.http.Target
+import pistachiopass.entry.http.requireFacts
+import pistachiopass.entry.logging.Event
+import pistachiopass.entry.logging.EventLog
+import pistachiopass.entry.logging.field
+import pistachiopass.entry.logging.log
+import pistachiopass.model.Failure
+import pistachiopass.model.FailureCode
+import pistachiopass.model.Route
+import pistachiopass.model.Verdict
+import pistachiopass.routing.routeOrNull
+import pistachiopass.tables.TablesState
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Routes by the documents in force, which [tables] returns. */
+public class RouteFilter(
+    private val tables: () -> TablesState,
+    private val log: EventLog = EventLog,
+) : Filter {
+    override suspend fun filter(context: RequestContext, next: Handler): Result<Completion, Failure> =
+        targetOf(context).andThen { target -> handleInTime(context.copy(target = target), target, next) }
+
+    private suspend fun handleInTime(
+        context: RequestContext,
+        target: Target,
+        next: Handler,
+    ): Result<Completion, Failure> {
+        val remaining = -target.deadline.elapsedNow()
+        return withTimeoutOrNull(remaining) { next.handle(context) }
+            ?: Err(timedOut(target.route))
+    }
+
+    private fun targetOf(context: RequestContext): Result<Target, Failure> {
+        val state = tables()
+        val exchange = context.exchange
+        val route = state.routes?.value?.routeOrNull(context.requireFacts())
+        if (route == null) {
+            log.log(Event.NO_ROUTE, exchange.requestId, field("workspace", exchange.workspace))
+            return Err(notRun(FailureCode.NO_ROUTE, "no route matches ${exchange.method.value} ${exchange.path}"))
+        }
+        val pool = state.pools?.value?.pools?.firstOrNull { it.name == route.pool }
+            ?: return Err(notRun(FailureCode.NO_ENDPOINT, "pool ${route.pool} of route ${route.name} is not published"))
+        log.log(Event.ROUTE_CHOSEN, exchange.requestId, field("route", route.name), field("pool", pool.name))
+        return Ok(Target(route, pool, exchange.arrivedAt + route.timeoutMillis.milliseconds))
+    }
+
+    private fun timedOut(route: Route): Failure = Failure(
+        FailureCode.TIMEOUT,
+        Verdict.MAY_HAVE_RUN,
+        "no whole answer within ${route.timeoutMillis} ms, the limit of route ${route.name}",
+    )
+}
--- /dev/null
+++ b/entry/src/main/kotlin/pistachiopass/entry/filter/StopFilter.kt
@@ -0,0 +1,41 @@
+/** Refuses new requests once the instance is stopping. */
+package pistachiopass.entry.filter
+
+import com.github.michaelbull.result.Result
+import pistachiopass.entry.http.Completion
+import pistachiopass.entry.http.Filter
+import pistachiopass.entry.http.Handler
+import pistachiopass.entry.http.RequestContext
+import pistachiopass.model.Failure
+import pistachiopass.model.FailureCode
+import java.util.concurrent.atomic.AtomicInteger
+
+/** Counts running requests and refuses new ones after [close]. */
+public class StopFilter : Filter {
+    private val running: AtomicInteger = AtomicInteger()
+
+    @Volatile
+    private var closed: Boolean = false
+
+    /** Requests that have not ended yet. */
+    public val runningRequests: Int get() = running.get()
+
+    /** Refuses all later requests. */
+    public fun close() {
+        closed = true
+    }
+
+    override suspend fun filter(context: RequestContext, next: Handler): Result<Completion, Failure> {
+        running.incrementAndGet()
+        return try {
+            if (closed) refusal() else next.handle(context)
+        } finally {
+            running.decrementAndGet()
+        }
+    }
+
+    private fun refusal(): Result<Completion, Failure> =
+        notRun(FailureCode.STOPPING, "the instance is stopping; another one takes the request", RETRY_MILLIS).asOutcome()
+}
+
+private const val RETRY_MILLIS: Long = 1_000
--- /dev/null
+++ b/entry/src/main/kotlin/pistachiopass/entry/http/Exchange.kt
@@ -0,0 +1,38 @@
+/** One request of a caller and the reply to it, apart from the server library. */
+package pistachiopass.entry.http
+
+import io.ktor.http.Headers
+import io.ktor.http.HttpMethod
+import io.ktor.http.HttpStatusCode
+import io.ktor.utils.io.ByteReadChannel
+import io.ktor.utils.io.ByteWriteChannel
+import pistachiopass.model.RequestId
+import pistachiopass.model.WorkspaceId
+import kotlin.time.ComparableTimeMark
+
+/** Holds what arrived from the caller; the body is read once. */
+public class Exchange(
+    public val requestId: RequestId,
+    public val workspace: WorkspaceId,
+    public val method: HttpMethod,
+    /** Path without the query. */
+    public val path: String,
+    /** Path and query as sent. */
+    public val uri: String,
+    public val headers: Headers,
+    public val arrivedAt: ComparableTimeMark,
+    public val body: ByteReadChannel,
+    public val reply: Reply,
+)
+
+/** Writes the reply to the caller. */
+public interface Reply {
+    /** Whether the status line has been handed to the server, so that a failure can no longer change it. */
+    public val started: Boolean
+
+    /** Sends a whole reply. */
+    public suspend fun send(status: HttpStatusCode, headers: Headers, body: ByteArray)
+
+    /** Sends a reply whose body [write] produces; returns when the body is complete or the caller has gone. */
+    public suspend fun stream(status: HttpStatusCode, headers: Headers, write: suspend (ByteWriteChannel) -> Unit)
+}
--- /dev/null
+++ b/entry/src/main/kotlin/pistachiopass/entry/http/FailureReplies.kt
@@ -0,0 +1,82 @@
+/** The one shape in which callers are told of failures. */
+package pistachiopass.entry.http
+
+import io.ktor.http.ContentType
+import io.ktor.http.Headers
+import io.ktor.http.HttpHeaders
+import io.ktor.http.HttpStatusCode
+import io.ktor.http.headers
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.json.Json
+import pistachiopass.model.Failure
+import pistachiopass.model.FailureCode
+import pistachiopass.model.RequestId
+import pistachiopass.model.VERDICT_HEADER
+import pistachiopass.model.Verdict
+
+/** The body of every reply that is not an answer. */
+@Serializable
+public data class ErrorBody(val error: ErrorDetail)
+
+/** Describes a failure to the caller. */
+@Serializable
+public data class ErrorDetail(
+    val code: FailureCode,
+    val verdict: Verdict,
+    val message: String,
+    val requestId: RequestId,
+    val retryAfterMillis: Long? = null,
+    /** Whether the answer can be taken up again with `Last-Event-ID`. */
+    val resumable: Boolean = false,
+    /** A key under which the request may be sent, when one was missing. */
+    val idempotencyKey: String? = null,
+)
+
+/** Returns the HTTP status under which callers see this failure. */
+public fun FailureCode.httpStatus(): HttpStatusCode =
+    when (this) {
+        FailureCode.BAD_REQUEST -> HttpStatusCode.BadRequest
+        FailureCode.NOT_AUTHORIZED -> HttpStatusCode.Forbidden
+        FailureCode.NO_ROUTE -> HttpStatusCode.NotFound
+        FailureCode.CONFLICT -> HttpStatusCode.Conflict
+        FailureCode.PROMPT_TOO_LARGE -> HttpStatusCode.PayloadTooLarge
+        FailureCode.KEY_REUSED -> HttpStatusCode.UnprocessableEntity
+        FailureCode.KEY_REQUIRED -> PRECONDITION_REQUIRED
+        FailureCode.ENDPOINT_FAILED -> HttpStatusCode.BadGateway
+        FailureCode.NO_ENDPOINT, FailureCode.OVERLOADED, FailureCode.STOPPING -> HttpStatusCode.ServiceUnavailable
+        FailureCode.TIMEOUT -> HttpStatusCode.GatewayTimeout
+    }
+
+/** Returns what the caller is told of this failure. */
+public fun Failure.detail(requestId: RequestId, resumable: Boolean = false): ErrorDetail =
+    ErrorDetail(code, verdict, message, requestId, retryAfterMillis, resumable, idempotencyKey)
+
+/** Sends the failure as the whole reply. */
+public suspend fun Reply.sendFailure(failure: Failure, requestId: RequestId) {
+    val body = errorJson.encodeToString(ErrorBody(failure.detail(requestId)))
+    send(failure.code.httpStatus(), failure.headers(), body.encodeToByteArray())
+}
+
+/** Returns the failure as a server-sent event that ends a stream which has begun. */
+public fun Failure.asEvent(requestId: RequestId, resumable: Boolean): String {
+    val body = errorJson.encodeToString(ErrorBody(detail(requestId, resumable)))
+    return "event: error\ndata: $body\n\n"
+}
+
+private fun Failure.headers(): Headers = headers {
+    append(HttpHeaders.ContentType, ContentType.Application.Json.toString())
+    append(VERDICT_HEADER, verdict.text)
+    retryAfterMillis?.let { append(HttpHeaders.RetryAfter, ceilSeconds(it).toString()) }
+    idempotencyKey?.let { append(IDEMPOTENCY_KEY_HEADER, it) }
+}
+
+private fun ceilSeconds(millis: Long): Long = (millis + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND
+
+/** Names the header of the key that makes a repeated request safe. */
+public const val IDEMPOTENCY_KEY_HEADER: String = "Idempotency-Key"
+
+private val PRECONDITION_REQUIRED: HttpStatusCode = HttpStatusCode(428, "Precondition Required")
+
+private val errorJson: Json = Json { explicitNulls = false }
+
+private const val MILLIS_PER_SECOND: Long = 1_000
--- /dev/null
+++ b/entry/src/main/kotlin/pistachiopass/entry/platform/PlatformClient.kt
@@ -0,0 +1,78 @@
+/** Reading and watching of the documents that the platform publishes. */
+package pistachiopass.entry.platform
+
+import io.ktor.client.HttpClient
+import io.ktor.client.engine.cio.CIO
+import io.ktor.client.plugins.HttpTimeout
+import io.ktor.client.request.get
+import io.ktor.client.request.header
+import io.ktor.client.statement.bodyAsText
+import io.ktor.http.HttpStatusCode
+import kotlinx.io.IOException
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonElement
+import pistachiopass.model.InstanceId
+import pistachiopass.model.Published
+import pistachiopass.model.TableVersion
+
+/** What one watch of a document came back with. */
+public sealed interface WatchOutcome {
+    /** The document has a newer state. */
+    public data class Changed(val document: Published<JsonElement>) : WatchOutcome
+
+    /** The document did not change while the watch lasted. */
+    public data object Unchanged : WatchOutcome
+
+    /** The platform did not answer as it should; [cause] says how. */
+    public data class Unavailable(val cause: String) : WatchOutcome
+}
+
+/** Watches documents of the platform. */
+public interface Platform {
+    /** Waits up to [waitMillis] for a state of [document] that is newer than [after]. */
+    public suspend fun watch(document: String, after: TableVersion, waitMillis: Long): WatchOutcome
+}
+
+/** Returns a client of the platform at [address], which counts the calls of [instance]. */
+public fun platformClientOf(address: String, instance: InstanceId): HttpPlatform = HttpPlatform(address, instance)
+
+/** Speaks to the platform over HTTP. */
+public class HttpPlatform internal constructor(
+    private val address: String,
+    private val instance: InstanceId,
+) : Platform, AutoCloseable {
+    private val client: HttpClient = HttpClient(CIO) {
+        expectSuccess = false
+        install(HttpTimeout) {
+            connectTimeoutMillis = CONNECT_TIMEOUT_MILLIS
+            requestTimeoutMillis = LONGEST_WAIT_MILLIS + SLACK_MILLIS
+            socketTimeoutMillis = LONGEST_WAIT_MILLIS + SLACK_MILLIS
+        }
+    }
+
+    override suspend fun watch(document: String, after: TableVersion, waitMillis: Long): WatchOutcome {
+        require(waitMillis <= LONGEST_WAIT_MILLIS) { "waitMillis must be at most $LONGEST_WAIT_MILLIS, was $waitMillis" }
+        val uri = "http://$address/v1/documents/$document?after=$after&waitMillis=$waitMillis"
+        return try {
+            val response = client.get(uri) { header("X-Instance", instance.value) }
+            when (response.status) {
+                HttpStatusCode.OK -> WatchOutcome.Changed(Json.decodeFromString(response.bodyAsText()))
+                HttpStatusCode.NotModified -> WatchOutcome.Unchanged
+                else -> WatchOutcome.Unavailable("status ${response.status.value}")
+            }
+        } catch (exception: IOException) {
+            WatchOutcome.Unavailable(exception::class.simpleName.orEmpty())
+        } catch (exception: SerializationException) {
+            WatchOutcome.Unavailable("malformed reply: ${exception::class.simpleName}")
+        }
+    }
+
+    override fun close(): Unit = client.close()
+}
+
+/** Longest time that a watch may wait. */
+public const val LONGEST_WAIT_MILLIS: Long = 20_000
+
+private const val CONNECT_TIMEOUT_MILLIS: Long = 1_000
+private const val SLACK_MILLIS: Long = 5_000
