--- /dev/null
+++ b/coordination/src/main/kotlin/pistachiopass/tables/InstancesCheck.kt
@@ -0,0 +1,42 @@
+/** The check of the instance list by itself. */
+package pistachiopass.tables
+
+import pistachiopass.model.Instance
+import pistachiopass.model.InstanceList
+import pistachiopass.model.InstanceState
+
+/** Returns all problems of [list] that can be seen without the other documents. */
+public fun checkInstanceList(list: InstanceList): List<Problem> {
+    val instances = list.instances
+    val all = Place(DocumentName.INSTANCES).field("instances")
+    val ids = instances.duplicates({ it.id }) { index, instance -> instancePlace(index, instance).field("id") }
+    val addresses = addressesOf(list).duplicates({ it.second }) { _, (place, _) -> place }
+    val noneLive = instances.none { it.state == InstanceState.LIVE }
+    return ids + addresses +
+        instances.flatMapIndexed { index, instance -> instanceProblems(instancePlace(index, instance), instance) } +
+        listOfNotNull(all.warning("no live instance", "at least one live instance").takeIf { noneLive })
+}
+
+private fun instancePlace(
+    index: Int,
+    instance: Instance,
+): Place = Place(DocumentName.INSTANCES).field("instances").element(index, instance.id.value)
+
+/** Returns each address of the instances with its place. */
+internal fun addressesOf(list: InstanceList): List<Pair<Place, String>> =
+    list.instances.flatMapIndexed { index, instance ->
+        val place = instancePlace(index, instance)
+        listOf(
+            place.field("httpAddress") to instance.httpAddress,
+            place.field("peerAddress") to instance.peerAddress,
+        )
+    }
+
+private fun instanceProblems(
+    place: Place,
+    instance: Instance,
+): List<Problem> =
+    place.field("id").name(instance.id.value) +
+        place.field("dataCentre").name(instance.dataCentre.value) +
+        place.field("httpAddress").address(instance.httpAddress) +
+        place.field("peerAddress").address(instance.peerAddress)
--- /dev/null
+++ b/coordination/src/main/kotlin/pistachiopass/tables/PoolsCheck.kt
@@ -0,0 +1,107 @@
+/** The check of the pools table by itself. */
+package pistachiopass.tables
+
+import pistachiopass.model.DataCentreId
+import pistachiopass.model.Endpoint
+import pistachiopass.model.Pool
+import pistachiopass.model.PoolKind
+import pistachiopass.model.PoolsTable
+
+/** Returns all problems of [table] that can be seen without the other documents. */
+public fun checkPoolsTable(table: PoolsTable): List<Problem> {
+    val pools = table.pools
+    val names = pools.duplicates({ it.name }) { index, pool -> poolPlace(index, pool).field("name") }
+    val each = pools.flatMapIndexed { index, pool -> poolProblems(poolPlace(index, pool), pool) }
+    return names + each + endpointDuplicates(table) + outProblems(table)
+}
+
+internal fun poolPlace(
+    index: Int,
+    pool: Pool,
+): Place = Place(DocumentName.POOLS).field("pools").element(index, pool.name.value)
+
+private fun poolProblems(
+    place: Place,
+    pool: Pool,
+): List<Problem> {
+    val endpoints = place.field("endpoints")
+    val empty = if (pool.endpoints.isEmpty()) listOf(
+        endpoints.warning("none", "at least one endpoint")
+    ) else emptyList()
+    return place.field("name").name(pool.name.value) +
+        empty +
+        pool.endpoints.flatMapIndexed { index, endpoint ->
+            endpointProblems(endpoints.element(index, endpoint.id.value), pool.kind, endpoint)
+        }
+}
+
+private fun endpointProblems(
+    place: Place,
+    kind: PoolKind,
+    endpoint: Endpoint,
+): List<Problem> =
+    place.field("id").name(endpoint.id.value) +
+        place.field("dataCentre").name(endpoint.dataCentre.value) +
+        place.field("address").address(endpoint.address) +
+        place.field("budgetTokens").tokens(kind, endpoint.budgetTokens) +
+        place.field("slots").positive(endpoint.slots.toLong()) +
+        place.field("coldBudgetTokens").tokens(kind, endpoint.coldBudgetTokens) +
+        place.field("coldBudgetTokens").atMost(endpoint.coldBudgetTokens, "budgetTokens", endpoint.budgetTokens) +
+        place.field("coldSlots").positive(endpoint.coldSlots.toLong()) +
+        place.field("coldSlots").atMost(endpoint.coldSlots.toLong(), "slots", endpoint.slots.toLong()) +
+        endpoint.models.flatMapIndexed { index, model ->
+            place.field("models").element(index, null).name(model.value)
+        }
+
+/** Plain services have no token budget, so theirs may be zero. */
+private fun Place.tokens(
+    kind: PoolKind,
+    value: Long,
+): List<Problem> = if (kind == PoolKind.MODEL) positive(value) else notNegative(value)
+
+private data class PlacedEndpoint(val place: Place, val endpoint: Endpoint)
+
+/** An id must be unique over all pools, and so must an address: both stand for one budget. */
+private fun endpointDuplicates(table: PoolsTable): List<Problem> {
+    val endpoints =
+        table.pools.flatMapIndexed { poolIndex, pool ->
+            pool.endpoints.mapIndexed { index, endpoint ->
+                val list = poolPlace(poolIndex, pool).field("endpoints")
+                PlacedEndpoint(list.element(index, endpoint.id.value), endpoint)
+            }
+        }
+    val ids = endpoints.duplicates({ it.endpoint.id }) { _, placed -> placed.place.field("id") }
+    val differences = endpoints.groupBy { it.endpoint.id }.values.flatMap(::differenceProblems)
+    val addresses =
+        endpoints.distinctBy { it.endpoint.id }
+            .duplicates({ it.endpoint.address }) { _, placed -> placed.place.field("address") }
+    return ids + differences + addresses
+}
+
+private fun differenceProblems(sameId: List<PlacedEndpoint>): List<Problem> {
+    val first = sameId.first().endpoint
+    return sameId.drop(1).flatMap { (place, endpoint) ->
+        listOfNotNull(
+            place.field("dataCentre").error(endpoint.dataCentre, "${first.dataCentre}, as stated before for this id")
+                .takeIf { endpoint.dataCentre != first.dataCentre },
+            place.field("address").error(endpoint.address, "${first.address}, as stated before for this id")
+                .takeIf { endpoint.address != first.address },
+        )
+    }
+}
+
+/** A name that no endpoint has would silently leave the data centre that was meant in service. */
+private fun outProblems(table: PoolsTable): List<Problem> {
+    val known = table.pools.flatMap { it.endpoints }.mapTo(sortedSetOf<DataCentreId>()) { it.dataCentre }
+    val out = Place(DocumentName.POOLS).field("dataCentresOut")
+    val unknown =
+        table.dataCentresOut.withIndex()
+            .filter { it.value !in known }
+            .map { out.element(
+                it.index,
+                null
+            ).error(it.value, "the data centre of an endpoint: ${known.joinToString()}") }
+    val all = known.isNotEmpty() && table.dataCentresOut.containsAll(known)
+    val everyOne = out.warning(table.dataCentresOut.joinToString(), "at least one data centre in service")
+    return unknown + listOfNotNull(everyOne.takeIf { all })
+}
--- /dev/null
+++ b/coordination/src/main/kotlin/pistachiopass/tables/RoutesCheck.kt
@@ -0,0 +1,77 @@
+/** The check of the routes table by itself. */
+package pistachiopass.tables
+
+import pistachiopass.model.Route
+import pistachiopass.model.RouteMatch
+import pistachiopass.model.RoutesTable
+
+/** Returns all problems of [table] that can be seen without the other documents. */
+public fun checkRoutesTable(table: RoutesTable): List<Problem> {
+    val routes = table.routes
+    val names = routes.duplicates({ it.name }) { index, route -> routePlace(index, route).field("name") }
+    return names + routes.flatMapIndexed { index, route -> routeProblems(index, route) + overlapProblems(routes, index) }
+}
+
+internal fun routePlace(
+    index: Int,
+    route: Route,
+): Place = Place(DocumentName.ROUTES).field("routes").element(index, route.name.value)
+
+private fun routeProblems(
+    index: Int,
+    route: Route,
+): List<Problem> {
+    val place = routePlace(index, route)
+    val match = place.field("match")
+    val prefix = route.match.pathPrefix
+    return place.field("name").name(route.name.value) +
+        place.field("pool").name(route.pool.value) +
+        (if (prefix.startsWith("/")) emptyList() else listOf(match.field("pathPrefix").error("\"$prefix\"", "a path that begins with /"))) +
+        (route.match.model?.let { match.field("model").name(it.value) }.orEmpty()) +
+        (route.match.workspace?.let { match.field("workspace").name(it.value) }.orEmpty()) +
+        place.field("timeoutMillis").positive(route.timeoutMillis) +
+        place.field("firstTokenTimeoutMillis").positive(route.firstTokenTimeoutMillis) +
+        place.field("firstTokenTimeoutMillis")
+            .atMost(route.firstTokenTimeoutMillis, "timeoutMillis", route.timeoutMillis)
+}
+
+/**
+ * Returns an error if an earlier route takes every request of the route at [index], else a warning for each earlier
+ * route that takes some of them without being the narrower of the two.
+ */
+private fun overlapProblems(
+    routes: List<Route>,
+    index: Int,
+): List<Problem> {
+    val route = routes[index]
+    val place = routePlace(index, route).field("match")
+    val earlier = routes.take(index)
+    val shadow = earlier.firstOrNull { it.match.covers(route.match) }
+    if (shadow != null) {
+        return listOf(place.error(route.match.text(), "a request that route ${shadow.name} before it does not take"))
+    }
+    return earlier
+        .filter { it.match.overlaps(route.match) && !route.match.covers(it.match) && !it.sameOutcome(route) }
+        .map {
+            place.warning(
+                route.match.text(),
+                "no requests in common with route ${it.name}, which takes them first"
+            )
+        }
+}
+
+private fun Route.sameOutcome(other: Route): Boolean = pool == other.pool && idempotent == other.idempotent
+
+/** Returns whether every request that [other] matches is matched by this. */
+internal fun RouteMatch.covers(other: RouteMatch): Boolean =
+    other.pathPrefix.startsWith(pathPrefix) &&
+        (model == null || model == other.model) &&
+        (workspace == null || workspace == other.workspace)
+
+private fun RouteMatch.overlaps(other: RouteMatch): Boolean =
+    (pathPrefix.startsWith(other.pathPrefix) || other.pathPrefix.startsWith(pathPrefix)) &&
+        (model == null || other.model == null || model == other.model) &&
+        (workspace == null || other.workspace == null || workspace == other.workspace)
+
+private fun RouteMatch.text(): String =
+    listOfNotNull("path $pathPrefix", model?.let { "model $it" }, workspace?.let { "workspace $it" }).joinToString()
--- /dev/null
+++ b/coordination/src/main/kotlin/pistachiopass/tables/ShapeCheck.kt
@@ -0,0 +1,110 @@
+/**
+ * Compares a JSON element with the shape that a serializer expects and reports every difference.
+ *
+ * The decoder of the serialization library stops at the first difference; operators want all of them at once.
+ */
+package pistachiopass.tables
+
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.descriptors.PrimitiveKind
+import kotlinx.serialization.descriptors.SerialDescriptor
+import kotlinx.serialization.descriptors.SerialKind
+import kotlinx.serialization.descriptors.StructureKind
+import kotlinx.serialization.descriptors.elementNames
+import kotlinx.serialization.json.JsonArray
+import kotlinx.serialization.json.JsonElement
+import kotlinx.serialization.json.JsonNull
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.booleanOrNull
+import kotlinx.serialization.json.intOrNull
+import kotlinx.serialization.json.longOrNull
+
+/** Returns every difference between [element] and the shape that [descriptor] describes. */
+@OptIn(ExperimentalSerializationApi::class)
+internal fun shapeProblems(
+    element: JsonElement,
+    descriptor: SerialDescriptor,
+    place: Place,
+): List<Problem> =
+    when {
+        element is JsonNull && descriptor.isNullable -> emptyList()
+        descriptor.isInline -> shapeProblems(element, descriptor.getElementDescriptor(0), place)
+        descriptor.kind == StructureKind.CLASS -> objectProblems(element, descriptor, place)
+        descriptor.kind == StructureKind.LIST -> listProblems(element, descriptor, place)
+        else -> primitiveProblems(element, descriptor, place)
+    }
+
+@OptIn(ExperimentalSerializationApi::class)
+private fun objectProblems(
+    element: JsonElement,
+    descriptor: SerialDescriptor,
+    place: Place,
+): List<Problem> {
+    if (element !is JsonObject) return listOf(place.error(element.short(), "an object"))
+    val known = descriptor.elementNames.toList()
+    val unknown =
+        (element.keys - known.toSet()).map {
+            place.field(it).error(element.getValue(it).short(), "no such field; known fields: ${known.joinToString()}")
+        }
+    val fields =
+        known.flatMapIndexed { index, name ->
+            val value = element[name]
+            when {
+                value != null -> shapeProblems(value, descriptor.getElementDescriptor(index), place.field(name))
+                descriptor.isElementOptional(index) -> emptyList()
+                else -> listOf(place.field(name).error(null, "a value; the field is required"))
+            }
+        }
+    return unknown + fields
+}
+
+@OptIn(ExperimentalSerializationApi::class)
+private fun listProblems(
+    element: JsonElement,
+    descriptor: SerialDescriptor,
+    place: Place,
+): List<Problem> {
+    if (element !is JsonArray) return listOf(place.error(element.short(), "a list"))
+    return element.flatMapIndexed { index, item ->
+        shapeProblems(item, descriptor.getElementDescriptor(0), place.element(index, item.nameOrNull()))
+    }
+}
+
+@OptIn(ExperimentalSerializationApi::class)
+private fun primitiveProblems(
+    element: JsonElement,
+    descriptor: SerialDescriptor,
+    place: Place,
+): List<Problem> {
+    val kind = descriptor.kind
+    val expected =
+        when (kind) {
+            SerialKind.ENUM -> "one of ${descriptor.elementNames.joinToString()}"
+            PrimitiveKind.STRING -> "a text"
+            PrimitiveKind.BOOLEAN -> "true or false"
+            else -> "a whole number that fits its field"
+        }
+    val fits =
+        element is JsonPrimitive && element !is JsonNull &&
+            when (kind) {
+                SerialKind.ENUM -> element.isString && element.content in descriptor.elementNames
+                PrimitiveKind.STRING -> element.isString
+                PrimitiveKind.BOOLEAN -> !element.isString && element.booleanOrNull != null
+                PrimitiveKind.INT -> !element.isString && element.intOrNull != null
+                else -> !element.isString && element.longOrNull != null
+            }
+    return if (fits) emptyList() else listOf(place.error(element.short(), expected))
+}
+
+private fun JsonElement.nameOrNull(): String? {
+    val name = (this as? JsonObject)?.let { it["name"] ?: it["id"] }
+    return (name as? JsonPrimitive)?.takeIf { it.isString }?.content
+}
+
+private fun JsonElement.short(): String {
+    val text = toString()
+    return if (text.length <= SHOWN_CHARS) text else text.take(SHOWN_CHARS) + "…"
+}
+
+private const val SHOWN_CHARS: Int = 60
