--- a/coordination/src/main/kotlin/pistachiopass/tables/RoutesCheck.kt
+++ b/coordination/src/main/kotlin/pistachiopass/tables/RoutesCheck.kt
@@ -45,7 +45,7 @@
 ): List<Problem> {
     val route = routes[index]
     val place = routePlace(index, route).field("match")
-    val earlier = routes.take(index)
+    val earlier = routes.subList(0, index)
     val shadow = earlier.firstOrNull { it.match.covers(route.match) }
     if (shadow != null) {
         return listOf(place.error(route.match.text(), "a request that route ${shadow.name} before it does not take"))
