--- /dev/null
+++ b/standins/src/main/kotlin/pistachiopass/standins/fault/FaultPlugin.kt
@@ -0,0 +1,55 @@
+/**
+ * A Ktor plugin that applies the faults which concern whole requests: freeze, slow, reset and truncate.
+ *
+ * Calls under `/admin` are never hit, so that a fault can be switched off again.
+ */
+package pistachiopass.standins.fault
+
+import io.ktor.server.application.ApplicationCall
+import io.ktor.server.application.ApplicationCallPipeline
+import io.ktor.server.application.ApplicationPlugin
+import io.ktor.server.application.call
+import io.ktor.server.application.createApplicationPlugin
+import io.ktor.server.request.path
+import io.ktor.server.response.ApplicationSendPipeline
+import kotlinx.coroutines.delay
+
+/** Applies freeze on arrival and, before each answer is sent, freeze, slow, reset and truncate. */
+public val FaultPlugin: ApplicationPlugin<FaultPluginConfig> =
+    createApplicationPlugin("Faults", ::FaultPluginConfig) {
+        val switches = pluginConfig.switches
+        val front = pluginConfig.front
+        application.intercept(ApplicationCallPipeline.Plugins) {
+            if (call.isAdmin) return@intercept
+            switches.awaitOff(FREEZE)
+            if (switches.takeReset(PHASE_BEFORE)) {
+                front()?.connectionOrNull(call.serverSidePort)?.reset()
+                finish()
+            }
+        }
+        application.sendPipeline.intercept(ApplicationSendPipeline.Before) {
+            if (call.isAdmin) return@intercept
+            switches.pace()
+            val connection = front()?.connectionOrNull(call.serverSidePort)
+            if (switches.takeReset(PHASE_AFTER)) {
+                connection?.reset()
+                finish()
+            } else {
+                switches.takeOrNull(TRUNCATE)?.let { connection?.truncateAfter(it.afterBytes) }
+            }
+        }
+    }
+
+/** Waits out a freeze and then the delay of the fault `slow`; streams call it before each chunk. */
+public suspend fun FaultSwitches.pace() {
+    awaitOff(FREEZE)
+    takeOrNull(SLOW)?.let { delay(it.millis) }
+    awaitOff(FREEZE)
+}
+
+/** The remote port of this call's connection as the server sees it; identifies the connection in a [TcpFront]. */
+public val ApplicationCall.serverSidePort: Int get() = request.local.remotePort
+
+private val ApplicationCall.isAdmin: Boolean get() = request.path().startsWith("/admin/")
+
+private fun FaultSwitches.takeReset(phase: String): Boolean = takeOrNull(RESET) { it.phase == phase } != null
--- /dev/null
+++ b/standins/src/main/kotlin/pistachiopass/standins/fault/FaultRoutes.kt
@@ -0,0 +1,55 @@
+/** The calls by which a test switches faults of a stand-in: `POST /admin/faults` and `GET /admin/faults`. */
+package pistachiopass.standins.fault
+
+import io.ktor.http.ContentType
+import io.ktor.http.HttpStatusCode
+import io.ktor.server.request.receiveText
+import io.ktor.server.response.respondText
+import io.ktor.server.routing.Route
+import io.ktor.server.routing.RoutingContext
+import io.ktor.server.routing.get
+import io.ktor.server.routing.post
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+
+/**
+ * Adds the fault calls to this route.
+ *
+ * A fault outside [supported] is answered `400`. [front] carries out `silence`; [exit] carries out `kill`. [onChange]
+ * is called after each accepted setting, for faults that act at the moment of switching.
+ */
+public fun Route.faultRoutes(
+    switches: FaultSwitches,
+    supported: Set<String> = GENERIC_FAULTS,
+    front: () -> TcpFront? = { null },
+    exit: () -> Unit = { Runtime.getRuntime().halt(KILLED_EXIT_CODE) },
+    onChange: suspend (FaultSetting) -> Unit = {},
+) {
+    get(FAULTS_PATH) { respondFaults(switches) }
+    post(FAULTS_PATH) {
+        val setting = settingOrNull(call.receiveText())?.takeIf { it.fault in supported }
+        if (setting == null) {
+            call.respondText("not one of $supported", status = HttpStatusCode.BadRequest)
+        } else {
+            switches.set(setting)
+            if (setting.on && setting.fault == KILL) exit()
+            if (setting.on && setting.fault == SILENCE) front()?.silenceAll(exceptPort = call.serverSidePort)
+            onChange(setting)
+            respondFaults(switches)
+        }
+    }
+}
+
+private suspend fun RoutingContext.respondFaults(switches: FaultSwitches) {
+    call.respondText(Json.encodeToString(switches.all()), ContentType.Application.Json)
+}
+
+private fun settingOrNull(text: String): FaultSetting? =
+    try {
+        Json.decodeFromString<FaultSetting>(text)
+    } catch (_: SerializationException) {
+        null
+    }
+
+private const val FAULTS_PATH: String = "/admin/faults"
+private const val KILLED_EXIT_CODE: Int = 137
--- a/standins/src/main/kotlin/pistachiopass/standins/fault/FaultSwitches.kt
+++ b/standins/src/main/kotlin/pistachiopass/standins/fault/FaultSwitches.kt
@@ -1,8 +1,11 @@
 /** Run-time fault switches that every stand-in offers over HTTP. */
 package pistachiopass.standins.fault
 
+import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.flow.first
+import kotlinx.coroutines.flow.getAndUpdate
+import kotlinx.coroutines.flow.update
 import kotlinx.serialization.Serializable
-import java.util.concurrent.ConcurrentHashMap
 
 /** Describes one fault as `POST /admin/faults` takes it. */
 @Serializable
@@ -17,30 +20,41 @@
 
 /** Holds the faults that are on; safe for use by many coroutines. */
 public class FaultSwitches {
-    private val active: ConcurrentHashMap<String, FaultSetting> = ConcurrentHashMap()
+    private val active: MutableStateFlow<Map<String, FaultSetting>> = MutableStateFlow(emptyMap())
 
     /** Switches a fault on or off. */
     public fun set(setting: FaultSetting) {
-        if (setting.on) {
-            active[setting.fault] = setting
-        } else {
-            active.remove(setting.fault)
+        active.update { faults ->
+            if (setting.on) faults + (setting.fault to setting) else faults - setting.fault
         }
     }
 
     /** Returns the setting of a fault that is on, or null. */
-    public operator fun get(fault: String): FaultSetting? = active[fault]
-
-    /** Returns the setting and uses up one of its count, or null when the fault is off or its count is used up. */
-    public fun takeOrNull(fault: String): FaultSetting? {
-        var taken: FaultSetting? = null
-        active.computeIfPresent(fault) { _, setting ->
-            taken = setting
-            if (setting.count > 1) setting.copy(count = setting.count - 1) else null
-        }
-        return taken
+    public operator fun get(fault: String): FaultSetting? = active.value[fault]
+
+    /**
+     * Returns the setting and uses up one of its count.
+     *
+     * Returns null when the fault is off, its count is used up or [accepts] turns its setting down.
+     */
+    public fun takeOrNull(fault: String, accepts: (FaultSetting) -> Boolean = { true }): FaultSetting? {
+        val before =
+            active.getAndUpdate { faults ->
+                val setting = faults[fault]?.takeIf(accepts)
+                when {
+                    setting == null -> faults
+                    setting.count > 1 -> faults + (fault to setting.copy(count = setting.count - 1))
+                    else -> faults - fault
+                }
+            }
+        return before[fault]?.takeIf(accepts)
+    }
+
+    /** Returns as soon as the fault is off; at once when it is off already. */
+    public suspend fun awaitOff(fault: String) {
+        active.first { fault !in it }
     }
 
-    /** Returns all faults that are on. */
-    public fun all(): List<FaultSetting> = active.values.sortedBy { it.fault }
+    /** Returns all faults that are on, ordered by name. */
+    public fun all(): List<FaultSetting> = active.value.values.sortedBy { it.fault }
 }
--- /dev/null
+++ b/standins/src/main/kotlin/pistachiopass/standins/fault/FaultyServer.kt
@@ -0,0 +1,57 @@
+/** An HTTP server behind a [TcpFront], with the fault calls and the fault plugin in place. */
+package pistachiopass.standins.fault
+
+import io.ktor.server.application.Application
+import io.ktor.server.application.install
+import io.ktor.server.cio.CIO
+import io.ktor.server.cio.CIOApplicationEngine
+import io.ktor.server.engine.EmbeddedServer
+import io.ktor.server.engine.embeddedServer
+import io.ktor.server.routing.routing
+
+/** Holds a running server; [port] is the one that callers use. */
+public class FaultyServer internal constructor(
+    private val server: EmbeddedServer<CIOApplicationEngine, CIOApplicationEngine.Configuration>,
+    private val front: TcpFront,
+) : AutoCloseable {
+    /** The port on which callers are served. */
+    public val port: Int get() = front.port
+
+    /** Resets every open connection, as a process that falls over does. */
+    public fun resetAll(): Unit = front.resetAll()
+
+    override fun close() {
+        front.close()
+        server.stop(gracePeriodMillis = 0, timeoutMillis = 0)
+    }
+}
+
+/**
+ * Starts [module] on [port] of the loopback interface and returns the server; port 0 takes a free one.
+ *
+ * [supported] names the faults that can be switched. [onChange] is called after each switch.
+ */
+public suspend fun startFaultyServer(
+    port: Int,
+    switches: FaultSwitches,
+    supported: Set<String> = GENERIC_FAULTS,
+    onChange: suspend (FaultSetting) -> Unit = {},
+    module: Application.() -> Unit,
+): FaultyServer {
+    var front: TcpFront? = null
+    val server =
+        embeddedServer(CIO, port = 0, host = LOOPBACK_HOST) {
+            install(FaultPlugin) {
+                this.switches = switches
+                this.front = { front }
+            }
+            routing { faultRoutes(switches, supported, { front }, onChange = onChange) }
+            module()
+        }
+    server.startSuspend(wait = false)
+    val started = tcpFrontOf(port, server.engine.resolvedConnectors().first().port)
+    front = started
+    return FaultyServer(server, started)
+}
+
+private const val LOOPBACK_HOST: String = "127.0.0.1"
