Add the stand-ins for the platform and for a plain service

Cause: the daemon needs documents to read and watch, and a service whose runs can be counted, before any engine is there.

--- a/standins/src/main/kotlin/pistachiopass/standins/Main.kt
+++ b/standins/src/main/kotlin/pistachiopass/standins/Main.kt
@@ -1,7 +1,24 @@
-/** Entry point of the stand-ins: one process plays the platform, an engine or a plain service. */
+/** Entry point of the stand-ins: one process plays the platform, an engine or a plain service, or makes load. */
 package pistachiopass.standins
 
-/** Starts the stand-in that the first argument names. */
+import kotlinx.cli.ArgParser
+import kotlinx.cli.ExperimentalCli
+import kotlinx.cli.Subcommand
+import pistachiopass.standins.plain.PlainCommand
+import pistachiopass.standins.platform.PlatformCommand
+
+/** Runs the subcommand that the first argument names. */
+@OptIn(ExperimentalCli::class)
 public fun main(args: Array<String>) {
-    println("stand-ins: ${args.toList()}")
+    val parser = ArgParser("standins")
+    subcommands().forEach { parser.subcommands(it) }
+    parser.parse(args)
 }
+
+/** Returns every subcommand; a new stand-in is added here. */
+@OptIn(ExperimentalCli::class)
+private fun subcommands(): List<Subcommand> =
+    listOf(
+        PlatformCommand(),
+        PlainCommand(),
+    )
--- a/standins/src/main/kotlin/pistachiopass/standins/fault/FaultPlugin.kt
+++ b/standins/src/main/kotlin/pistachiopass/standins/fault/FaultPlugin.kt
@@ -1,7 +1,8 @@
 /**
  * A Ktor plugin that applies the faults which concern whole requests: freeze, slow, reset and truncate.
  *
- * Calls under `/admin` are never hit, so that a fault can be switched off again.
+ * Calls under `/admin` are never hit, so that a fault can be switched off again. Reset and truncate also spare what the
+ * daemon polls, so that their count is used up by the requests of callers alone.
  */
 package pistachiopass.standins.fault
 
@@ -22,7 +23,7 @@
         application.intercept(ApplicationCallPipeline.Plugins) {
             if (call.isAdmin) return@intercept
             switches.awaitOff(FREEZE)
-            if (switches.takeReset(PHASE_BEFORE)) {
+            if (!call.isPoll && switches.takeReset(PHASE_BEFORE)) {
                 front()?.connectionOrNull(call.serverSidePort)?.reset()
                 finish()
             }
@@ -30,6 +31,7 @@
         application.sendPipeline.intercept(ApplicationSendPipeline.Before) {
             if (call.isAdmin) return@intercept
             switches.pace()
+            if (call.isPoll) return@intercept
             val connection = front()?.connectionOrNull(call.serverSidePort)
             if (switches.takeReset(PHASE_AFTER)) {
                 connection?.reset()
@@ -52,4 +54,8 @@
 
 private val ApplicationCall.isAdmin: Boolean get() = request.path().startsWith("/admin/")
 
+private val ApplicationCall.isPoll: Boolean get() = request.path() in POLL_PATHS
+
 private fun FaultSwitches.takeReset(phase: String): Boolean = takeOrNull(RESET) { it.phase == phase } != null
+
+private val POLL_PATHS: Set<String> = setOf("/v1/load", "/v1/cache-events")
--- a/standins/src/main/kotlin/pistachiopass/standins/fault/FaultRoutes.kt
+++ b/standins/src/main/kotlin/pistachiopass/standins/fault/FaultRoutes.kt
@@ -1,7 +1,6 @@
 /** The calls by which a test switches faults of a stand-in: `POST /admin/faults` and `GET /admin/faults`. */
 package pistachiopass.standins.fault
 
-import io.ktor.http.ContentType
 import io.ktor.http.HttpStatusCode
 import io.ktor.server.request.receiveText
 import io.ktor.server.response.respondText
@@ -11,6 +10,7 @@
 import io.ktor.server.routing.post
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
+import pistachiopass.standins.respondJson
 
 /**
  * Adds the fault calls to this route.
@@ -41,7 +41,7 @@
 }
 
 private suspend fun RoutingContext.respondFaults(switches: FaultSwitches) {
-    call.respondText(Json.encodeToString(switches.all()), ContentType.Application.Json)
+    call.respondJson(switches.all())
 }
 
 private fun settingOrNull(text: String): FaultSetting? =
--- a/standins/src/main/kotlin/pistachiopass/standins/fault/FaultSwitches.kt
+++ b/standins/src/main/kotlin/pistachiopass/standins/fault/FaultSwitches.kt
@@ -1,9 +1,12 @@
 /** Run-time fault switches that every stand-in offers over HTTP. */
 package pistachiopass.standins.fault
 
+import kotlinx.coroutines.flow.Flow
 import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.flow.distinctUntilChanged
 import kotlinx.coroutines.flow.first
 import kotlinx.coroutines.flow.getAndUpdate
+import kotlinx.coroutines.flow.map
 import kotlinx.coroutines.flow.update
 import kotlinx.serialization.Serializable
 
@@ -52,9 +55,12 @@
 
     /** Returns as soon as the fault is off; at once when it is off already. */
     public suspend fun awaitOff(fault: String) {
-        active.first { fault !in it }
+        changesOf(fault).first { it == null }
     }
 
+    /** Returns the present setting of a fault, null when it is off, and then each change of it. */
+    public fun changesOf(fault: String): Flow<FaultSetting?> = active.map { it[fault] }.distinctUntilChanged()
+
     /** Returns all faults that are on, ordered by name. */
     public fun all(): List<FaultSetting> = active.value.values.sortedBy { it.fault }
 }
