--- a/standins/src/main/kotlin/pistachiopass/standins/engine/EngineCommand.kt
+++ b/standins/src/main/kotlin/pistachiopass/standins/engine/EngineCommand.kt
@@ -78,7 +78,7 @@
         runBlocking(Dispatchers.Default) { serve() }
     }
 
-    private suspend fun serve() = coroutineScope {
+    private suspend fun serve(): Unit = coroutineScope {
         for (index in 0 until count) {
             val settings = settings(endpointIdAt(id, index))
             val server = EngineServer(settings, if (port == 0) 0 else port + index)
--- a/standins/src/main/kotlin/pistachiopass/standins/engine/EngineRoutes.kt
+++ b/standins/src/main/kotlin/pistachiopass/standins/engine/EngineRoutes.kt
@@ -23,6 +23,7 @@
 
 /** Answers the calls of callers and of the daemon. */
 internal class EngineRoutes(private val runner: EngineRunner, private val faults: FaultSwitches) {
+    @Volatile
     private var staleLoad: LoadReport? = null
 
     /** Adds all routes of the engine. */
@@ -30,10 +31,10 @@
         route.post("/v1/chat/completions") { complete(call) }
         route.get("/v1/streams/{streamId}") { resume(call) }
         route.delete("/v1/streams/{streamId}") {
-            cancel(call) { streamOrNull(call.pathValue("streamId")) }
+            cancel(call) { streams.streamOrNull(call.pathValue("streamId")) }
         }
         route.delete("/v1/requests/{requestId}") {
-            cancel(call) { streamOfRequestOrNull(call.pathValue("requestId")) }
+            cancel(call) { streams.streamOfRequestOrNull(call.pathValue("requestId")) }
         }
         route.get("/v1/load") { reportLoad(call) }
         route.get("/v1/cache-events") { reportCacheEvents(call) }
@@ -62,22 +63,21 @@
             return
         }
         val end = stream.progress.first { it.end != null }.end
-        runner.awaitNoFreeze()
         call.addStreamHeaders(stream)
         when (end) {
             StreamEnd.FINISHED -> call.respondJson(stream.toCompletion())
             StreamEnd.CANCELLED -> call.respondError(HttpStatusCode.Gone, "cancelled", "the request was cancelled")
-            else -> throw StreamLostException(stream.streamId)
+            else -> call.respondError(HttpStatusCode.InternalServerError, "lost", "the engine fell over")
         }
     }
 
     private suspend fun resume(call: ApplicationCall) {
         val streamId = call.pathValue("streamId")
         val fromOffset = call.request.queryParameters["offset"]?.toIntOrNull() ?: 0
-        val stream = runner.use { streamOrNull(streamId) }
+        val stream = runner.use { streams.streamOrNull(streamId) }
         when {
             stream != null -> writeStream(call, stream, maxOf(0, fromOffset))
-            runner.use { wasCancelled(streamId) } ->
+            runner.use { streams.wasCancelled(streamId) } ->
                 call.respondError(HttpStatusCode.Gone, "cancelled", "stream $streamId was cancelled")
             else -> call.respondError(HttpStatusCode.NotFound, "not_kept", "stream $streamId is not kept")
         }
@@ -86,7 +86,7 @@
     private suspend fun writeStream(call: ApplicationCall, stream: GenerationStream, fromOffset: Int) {
         call.addStreamHeaders(stream)
         call.respondBytesWriter(ContentType.Text.EventStream) {
-            StreamWriter(this, stream, faults, runner::awaitNoFreeze).write(fromOffset)
+            StreamWriter(this, stream, faults).write(fromOffset)
         }
     }
 
@@ -96,13 +96,13 @@
     }
 
     private suspend fun reportLoad(call: ApplicationCall) {
-        if (faults["no-load"] != null) {
+        if (faults[NO_LOAD] != null) {
             call.respondError(HttpStatusCode.ServiceUnavailable, "no_load", "the load report is switched off")
             return
         }
         val report = runner.use { loadReport(it) }
         val last = staleLoad
-        if (faults["stale-load"] != null && last != null) {
+        if (faults[STALE_LOAD] != null && last != null) {
             call.respondJson(last)
         } else {
             staleLoad = report
--- a/standins/src/main/kotlin/pistachiopass/standins/engine/EngineRunner.kt
+++ b/standins/src/main/kotlin/pistachiopass/standins/engine/EngineRunner.kt
@@ -4,32 +4,27 @@
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeoutOrNull
+import pistachiopass.standins.fault.FREEZE
 import pistachiopass.standins.fault.FaultSwitches
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration.Companion.microseconds
 
 /**
- * Guards [core] by a lock and advances it step by step.
+ * Guards [core] by a lock and advances it step by step, but for the time in which the fault `freeze` is on.
  *
- * [onRestart] is called each time the engine has lost its state. [nowMicros] tells the time.
+ * [nowMicros] tells the time.
  */
 internal class EngineRunner(
     private val core: EngineCore,
     private val faults: FaultSwitches,
-    private val onRestart: () -> Unit,
     private val nowMicros: () -> Long = { TimeUnit.NANOSECONDS.toMicros(System.nanoTime()) },
 ) {
     private val wakeUps: Channel<Unit> = Channel(Channel.CONFLATED)
 
     /** Runs [block] on the core with the present time in milliseconds. */
     fun <T> use(block: EngineCore.(nowMillis: Long) -> T): T {
-        var restarted = false
-        val result = synchronized(core) {
-            val startId = core.startId
-            core.block(nowMillis()).also { restarted = core.startId != startId }
-        }
+        val result = synchronized(core) { core.block(nowMillis()) }
         wakeUps.trySend(Unit)
-        if (restarted) onRestart()
         return result
     }
 
@@ -37,11 +32,11 @@
     suspend fun run() {
         var dueMicros = nowMicros()
         while (true) {
-            awaitNoFreeze()
+            faults.awaitOff(FREEZE)
             var expiryMillis: Long? = null
             val plan = synchronized(core) {
                 expiryMillis = core.expire(nowMillis())
-                core.planStep()
+                core.batch.planStep()
             }
             if (plan == null) {
                 awaitWakeUp(expiryMillis)
@@ -49,19 +44,12 @@
             } else {
                 dueMicros = maxOf(dueMicros, nowMicros() - MAX_BACKLOG_MICROS) + plan.durationMicros
                 delay((dueMicros - nowMicros()).microseconds)
-                awaitNoFreeze()
+                faults.awaitOff(FREEZE)
                 use { apply(plan, it) }
             }
         }
     }
 
-    /** Waits until the engine is not frozen. */
-    suspend fun awaitNoFreeze() {
-        while (faults["freeze"] != null) {
-            delay(FREEZE_CHECK_MILLIS)
-        }
-    }
-
     private suspend fun awaitWakeUp(expiryMillis: Long?) {
         if (expiryMillis == null) {
             wakeUps.receive()
@@ -73,7 +61,6 @@
     private fun nowMillis(): Long = TimeUnit.MICROSECONDS.toMillis(nowMicros())
 
     private companion object {
-        const val FREEZE_CHECK_MILLIS = 20L
         const val MAX_BACKLOG_MICROS = 100_000L
     }
 }
--- a/standins/src/main/kotlin/pistachiopass/standins/engine/LoadReport.kt
+++ b/standins/src/main/kotlin/pistachiopass/standins/engine/LoadReport.kt
@@ -42,7 +42,12 @@
     /** Returns the state of [lagMillis] ago, which is [current] when nothing has changed since. */
     fun delayed(nowMillis: Long, current: () -> LoadReport): LoadReport {
         val past = entries.firstOrNull { it.validUntilMillis > nowMillis - lagMillis }
-        return (past?.report ?: current()).copy(ageMillis = lagMillis)
+        return past?.report?.copy(ageMillis = lagMillis) ?: current()
+    }
+
+    /** Forgets all past states, as an engine does that loses its memory. */
+    fun clear() {
+        entries.clear()
     }
 
     private class PastReport(val validUntilMillis: Long, val report: LoadReport)
--- a/standins/src/main/kotlin/pistachiopass/standins/engine/StreamWriter.kt
+++ b/standins/src/main/kotlin/pistachiopass/standins/engine/StreamWriter.kt
@@ -8,31 +8,25 @@
 
 import io.ktor.utils.io.ByteWriteChannel
 import io.ktor.utils.io.writeStringUtf8
-import kotlinx.coroutines.delay
 import kotlinx.coroutines.flow.first
 import pistachiopass.standins.fault.FaultSwitches
-import java.io.IOException
-
-/** Tells that the engine lost a stream while a reader was reading it. */
-internal class StreamLostException(streamId: String) : IOException("stream $streamId is lost")
+import pistachiopass.standins.fault.pace
 
 /** Writes one stream to one reader; [nowMillis] tells the time for late chunks. */
 internal class StreamWriter(
     private val output: ByteWriteChannel,
     private val stream: GenerationStream,
     private val faults: FaultSwitches,
-    private val awaitNoFreeze: suspend () -> Unit,
     private val nowMillis: () -> Long = System::currentTimeMillis,
 ) {
     private val lateChunks: MutableList<LateChunk> = mutableListOf()
 
-    /** Writes all events from [fromOffset] on; throws [StreamLostException] when the stream does not end well. */
+    /** Writes all events from [fromOffset] on; leaves out the last ones when the stream was cancelled or lost. */
     suspend fun write(fromOffset: Int) {
         output.flush()
         var offset = fromOffset
         do {
             val progress = stream.progress.first { it.producedTokens > offset || it.end != null }
-            awaitNoFreeze()
             while (offset < progress.producedTokens) {
                 writeChunk(offset)
                 offset++
@@ -44,8 +38,8 @@
     }
 
     private suspend fun finish() {
-        if (stream.progress.value.end != StreamEnd.FINISHED) throw StreamLostException(stream.streamId)
-        delaySlowly()
+        if (stream.progress.value.end != StreamEnd.FINISHED) return
+        faults.pace()
         writeEvent(stream.request.maxTokens)
         lateChunks.forEach { writeEvent(it.offset) }
         output.writeStringUtf8("data: [DONE]\n\n")
@@ -53,14 +47,14 @@
     }
 
     private suspend fun writeChunk(offset: Int) {
-        delaySlowly()
-        val late = if (isChosen(offset)) faults.takeOrNull("late-chunks") else null
+        faults.pace()
+        val late = if (isChosen(offset)) faults.takeOrNull(LATE_CHUNKS) else null
         if (late != null) {
             lateChunks += LateChunk(offset, nowMillis() + late.millis)
             return
         }
         writeEvent(offset)
-        if (isChosen(offset) && faults.takeOrNull("duplicate-chunks") != null) writeEvent(offset)
+        if (isChosen(offset) && faults.takeOrNull(DUPLICATE_CHUNKS) != null) writeEvent(offset)
     }
 
     private suspend fun writeDueChunks() {
@@ -74,13 +68,6 @@
         output.writeStringUtf8("id: ${stream.streamId}:$offset\ndata: $chunk\n\n")
     }
 
-    private suspend fun delaySlowly() {
-        faults["slow"]?.let {
-            output.flush()
-            delay(it.millis)
-        }
-    }
-
     private fun isChosen(offset: Int): Boolean = offset % FAULTY_CHUNK_EVERY == 1
 
     private class LateChunk(val offset: Int, val dueMillis: Long)
--- a/standins/src/main/kotlin/pistachiopass/standins/fault/FaultyServer.kt
+++ b/standins/src/main/kotlin/pistachiopass/standins/fault/FaultyServer.kt
@@ -17,8 +17,8 @@
     /** The port on which callers are served. */
     public val port: Int get() = front.port
 
-    /** Resets every open connection, as a process that falls over does. */
-    public fun resetAll(): Unit = front.resetAll()
+    /** Resets every open connection but those of [exceptPorts], as a process that falls over does. */
+    public fun resetAll(exceptPorts: Set<Int> = emptySet()): Unit = front.resetAll(exceptPorts)
 
     override fun close() {
         front.close()
--- a/standins/src/main/kotlin/pistachiopass/standins/fault/TcpFront.kt
+++ b/standins/src/main/kotlin/pistachiopass/standins/fault/TcpFront.kt
@@ -38,8 +38,12 @@
         }
     }
 
-    /** Resets every connection that is open now. */
-    public fun resetAll(): Unit = connections.values.forEach { it.reset() }
+    /** Resets every connection that is open now, but for those that the server sees as [exceptPorts]. */
+    public fun resetAll(exceptPorts: Set<Int> = emptySet()) {
+        connections.forEach { (serverSidePort, connection) ->
+            if (serverSidePort !in exceptPorts) connection.reset()
+        }
+    }
 
     override fun close() {
         listener.close()
