--- /dev/null
+++ b/coordination/src/main/kotlin/pistachiopass/tables/TablesInForce.kt
@@ -0,0 +1,237 @@
+/**
+ * Controller of the documents in force: it holds the last good state of each and decides on each new one.
+ *
+ * The controller reads no clock and no network. States may come from the platform or from another instance that has
+ * accepted them; the order of versions alone decides. See docs/design/tables.md.
+ */
+package pistachiopass.tables
+
+import com.github.michaelbull.result.mapBoth
+import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.flow.StateFlow
+import kotlinx.coroutines.flow.asStateFlow
+import kotlinx.serialization.json.JsonElement
+import pistachiopass.model.InstanceList
+import pistachiopass.model.PoolsTable
+import pistachiopass.model.Published
+import pistachiopass.model.RoutesTable
+import pistachiopass.model.TableVersion
+import pistachiopass.status.TableStatus
+import java.util.concurrent.CopyOnWriteArrayList
+
+/** Holds the last good state of each document; null while none has been accepted. */
+public data class TablesState(
+    val routes: Published<RoutesTable>? = null,
+    val pools: Published<PoolsTable>? = null,
+    val instances: Published<InstanceList>? = null,
+    /** Problems between the documents in force; none of them takes a document out of force. */
+    val openProblems: List<Problem> = emptyList(),
+) {
+    /** Returns the version of [document] that is in force, or [TableVersion.NONE]. */
+    public fun versionOf(document: DocumentName): TableVersion =
+        when (document) {
+            DocumentName.ROUTES -> routes?.version
+            DocumentName.POOLS -> pools?.version
+            DocumentName.INSTANCES -> instances?.version
+        } ?: TableVersion.NONE
+}
+
+/** Says what became of an offered state of a document. */
+public sealed interface OfferOutcome {
+    /** The state is in force; [warnings] did not keep it out. */
+    public data class Accepted(val warnings: List<Problem>) : OfferOutcome
+
+    /** The version is in force already; its age has been renewed. */
+    public data object Unchanged : OfferOutcome
+
+    /** The version is below the one in force, [inForce], and was ignored. */
+    public data class Older(val inForce: TableVersion) : OfferOutcome
+
+    /** The state has errors and was refused whole; the last good state stays in force. */
+    public data class Refused(val problems: List<Problem>) : OfferOutcome
+
+    /** The version was refused before and was not checked again. */
+    public data object RefusedBefore : OfferOutcome
+}
+
+/** Is told of each accepted state. */
+public fun interface TablesListener {
+    /** Is called once for each change, in the order of the changes, with the [state] right after it. */
+    public fun onChange(
+        document: DocumentName,
+        state: TablesState,
+    )
+}
+
+/** Returns a controller without any document, which applies the checks that the daemon applies. */
+public fun tablesInForceOf(
+    routesCheck: TableCheck<RoutesTable> = routesTableCheck(),
+    poolsCheck: TableCheck<PoolsTable> = poolsTableCheck(),
+    instancesCheck: TableCheck<InstanceList> = instanceListCheck(),
+): TablesInForce = TablesInForce(routesCheck, poolsCheck, instancesCheck)
+
+/** Holds the documents in force; all functions may be called from any thread. */
+public class TablesInForce internal constructor(
+    routesCheck: TableCheck<RoutesTable>,
+    poolsCheck: TableCheck<PoolsTable>,
+    instancesCheck: TableCheck<InstanceList>,
+) {
+    private val routes =
+        Slot(DocumentName.ROUTES, routesCheck) { state, published -> state.copy(routes = published) }
+    private val pools =
+        Slot(DocumentName.POOLS, poolsCheck) { state, published -> state.copy(pools = published) }
+    private val instances =
+        Slot(DocumentName.INSTANCES, instancesCheck) { state, published -> state.copy(instances = published) }
+    private val slots = listOf(routes, pools, instances).associateBy { it.document }
+    private val lock = Any()
+    private val flow = MutableStateFlow(TablesState())
+    private val listeners = CopyOnWriteArrayList<TablesListener>()
+    private val deliveries = SerialQueue()
+
+    /** The documents in force; a slow collector may miss states in between, but never sees an older one. */
+    public val state: StateFlow<TablesState> = flow.asStateFlow()
+
+    /** Adds a listener that is told of every later change. */
+    public fun addListener(listener: TablesListener) {
+        listeners += listener
+    }
+
+    /**
+     * Checks [value] and puts it in force if its [version] is above the one in force.
+     *
+     * [confirmedAtMillis] is the time at which the platform is known to have held this version: now for an answer of
+     * the platform itself, now less the peer's age for a state that a peer passes on. Listeners are called before the
+     * return unless another thread or a listener is calling them, which then does it next.
+     */
+    public fun offer(
+        document: DocumentName,
+        version: TableVersion,
+        value: JsonElement,
+        confirmedAtMillis: Long,
+    ): OfferOutcome {
+        val slot = slots.getValue(document)
+        val outcome = synchronized(lock) { offerLocked(slot, version, value, confirmedAtMillis) }
+        deliveries.drain()
+        return outcome
+    }
+
+    /** Notes that the platform held nothing above [version] at [confirmedAtMillis]; renews the age if it is in force. */
+    public fun confirm(
+        document: DocumentName,
+        version: TableVersion,
+        confirmedAtMillis: Long,
+    ) {
+        synchronized(lock) {
+            val isInForce = version != TableVersion.NONE && version == flow.value.versionOf(document)
+            if (isInForce) slots.getValue(document).confirm(confirmedAtMillis)
+        }
+    }
+
+    /** Returns version, age and refused version of each document at [nowMillis]. */
+    public fun statusAt(nowMillis: Long): List<TableStatus> =
+        synchronized(lock) {
+            slots.values.map { slot ->
+                TableStatus(
+                    name = slot.document.text,
+                    version = flow.value.versionOf(slot.document),
+                    ageMillis = slot.confirmedAtMillis?.let { (nowMillis - it).coerceAtLeast(0) },
+                    refusedVersion = slot.refusedVersion,
+                )
+            }
+        }
+
+    private fun offerLocked(
+        slot: Slot<*>,
+        version: TableVersion,
+        value: JsonElement,
+        confirmedAtMillis: Long,
+    ): OfferOutcome {
+        val inForce = flow.value.versionOf(slot.document)
+        return when {
+            version < inForce -> OfferOutcome.Older(inForce)
+            version == slot.refusedVersion -> OfferOutcome.RefusedBefore
+            version > inForce -> checkAndApply(slot, version, value, confirmedAtMillis)
+            version == TableVersion.NONE -> OfferOutcome.Older(inForce)
+            else -> {
+                slot.confirm(confirmedAtMillis)
+                OfferOutcome.Unchanged
+            }
+        }
+    }
+
+    private fun checkAndApply(
+        slot: Slot<*>,
+        version: TableVersion,
+        value: JsonElement,
+        confirmedAtMillis: Long,
+    ): OfferOutcome {
+        val reading = slot.read(flow.value, version, value)
+        return reading.toResult().mapBoth(
+            success = { changed ->
+                slot.accept(version, confirmedAtMillis)
+                putInForce(slot.document, changed)
+                OfferOutcome.Accepted(reading.problems)
+            },
+            failure = { problems ->
+                slot.refuse(version)
+                OfferOutcome.Refused(problems)
+            },
+        )
+    }
+
+    private fun putInForce(
+        document: DocumentName,
+        changed: TablesState,
+    ) {
+        val next = changed.copy(openProblems = openProblemsOf(changed))
+        flow.value = next
+        deliveries.add { listeners.forEach { it.onChange(document, next) } }
+    }
+}
+
+private fun openProblemsOf(state: TablesState): List<Problem> {
+    val routes = state.routes ?: return emptyList()
+    val pools = state.pools ?: return emptyList()
+    return checkBetween(routes.value, pools.value, state.instances?.value)
+}
+
+/** Holds what the controller knows of one document besides its state; guarded by the controller's lock. */
+private class Slot<T>(
+    val document: DocumentName,
+    private val tableCheck: TableCheck<T>,
+    private val put: (TablesState, Published<T>) -> TablesState,
+) {
+    var confirmedAtMillis: Long? = null
+        private set
+
+    /** Highest version refused since the one in force was accepted. */
+    var refusedVersion: TableVersion? = null
+        private set
+
+    /** Returns [state] with the new version, and all problems of that version. */
+    fun read(
+        state: TablesState,
+        version: TableVersion,
+        value: JsonElement,
+    ): TableReading<TablesState> {
+        val reading = tableCheck.read(value)
+        val changed = reading.value?.let { put(state, Published(document.text, version, it)) }
+        return TableReading(changed, reading.problems)
+    }
+
+    fun accept(
+        version: TableVersion,
+        atMillis: Long,
+    ) {
+        refusedVersion = refusedVersion?.takeIf { it > version }
+        confirmedAtMillis = atMillis
+    }
+
+    fun refuse(version: TableVersion) {
+        refusedVersion = maxOf(version, refusedVersion ?: version)
+    }
+
+    fun confirm(atMillis: Long) {
+        confirmedAtMillis = maxOf(atMillis, confirmedAtMillis ?: atMillis)
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/pistachiopass/entry/Daemon.kt
@@ -0,0 +1,146 @@
+/** The daemon: joins servers, filters, controllers and clients, and stops them in order. */
+package pistachiopass.entry
+
+import io.ktor.server.cio.CIO
+import io.ktor.server.engine.EmbeddedServer
+import io.ktor.server.engine.embeddedServer
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.first
+import kotlinx.coroutines.withTimeoutOrNull
+import pistachiopass.entry.body.BodyReader
+import pistachiopass.entry.body.heldMemoryOf
+import pistachiopass.entry.endpoint.LoadController
+import pistachiopass.entry.endpoint.endpointClientOf
+import pistachiopass.entry.filter.BodyFilter
+import pistachiopass.entry.filter.ForwardHandler
+import pistachiopass.entry.filter.RouteFilter
+import pistachiopass.entry.filter.StopFilter
+import pistachiopass.entry.http.AdminSource
+import pistachiopass.entry.http.endingIn
+import pistachiopass.entry.http.serveAdmin
+import pistachiopass.entry.http.serveCallers
+import pistachiopass.entry.logging.Event
+import pistachiopass.entry.logging.EventLog
+import pistachiopass.entry.logging.field
+import pistachiopass.entry.logging.log
+import pistachiopass.entry.logging.tokenField
+import pistachiopass.entry.metrics.metricsOf
+import pistachiopass.entry.placement.BlindAllocator
+import pistachiopass.entry.platform.TablesController
+import pistachiopass.entry.platform.platformClientOf
+import pistachiopass.entry.settings.Settings
+import pistachiopass.model.DataCentreId
+import pistachiopass.model.Endpoint
+import pistachiopass.model.StartId
+import pistachiopass.routing.affinityChooser
+import pistachiopass.status.InstanceStatus
+import pistachiopass.tables.tablesInForceOf
+import java.util.UUID
+import kotlin.time.TimeSource
+
+/** Runs one instance from [start] to [stop]. */
+public class Daemon(private val settings: Settings) {
+    private val startedAt = TimeSource.Monotonic.markNow()
+    private val startId = StartId("${System.currentTimeMillis()}-${UUID.randomUUID()}")
+    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+    private val metrics = metricsOf()
+    private val memory = heldMemoryOf(settings.limits.heldBytes)
+    private val tables = tablesInForceOf()
+    private val platform = platformClientOf(settings.platformAddress, settings.instance)
+    private val client = endpointClientOf(settings.limits.readIdleMillis)
+    private val loads = LoadController(client, ::endpoints)
+    private val stopFilter = StopFilter()
+    private val servers = listOf(callerServer(), adminServer())
+
+    @Volatile
+    private var stopping: Boolean = false
+
+    /** Starts the servers and controllers and returns once the instance is ready. */
+    public suspend fun start() {
+        log(Event.START)
+        TablesController(platform, tables, ::uptimeMillis).start(scope)
+        loads.start(scope)
+        servers.forEach { it.startSuspend(wait = false) }
+        tables.state.first { it.routes != null && it.pools != null }
+        log(Event.READY)
+    }
+
+    /** Refuses new requests, waits for running ones up to the stop limit, and ends. */
+    public suspend fun stop() {
+        stopping = true
+        log(Event.STOP_BEGUN)
+        stopFilter.close()
+        val drained = withTimeoutOrNull(settings.limits.stopMillis) { awaitIdle() } != null
+        if (!drained) EventLog.log(Event.STOP_TIMED_OUT, field("running", stopFilter.runningRequests))
+        servers.forEach { it.stopSuspend(SERVER_GRACE_MILLIS, SERVER_GRACE_MILLIS) }
+        scope.cancel()
+        client.close()
+        platform.close()
+        log(Event.STOP_DONE)
+    }
+
+    private suspend fun awaitIdle() {
+        while (stopFilter.runningRequests > 0) delay(IDLE_POLL_MILLIS)
+    }
+
+    private fun callerServer(): EmbeddedServer<*, *> {
+        val allocator = BlindAllocator(settings.dataCentre, affinityChooser(), loads, ::dataCentresOut)
+        val filters = listOf(
+            stopFilter,
+            BodyFilter(BodyReader(settings.limits.bodyBytes, memory)),
+            RouteFilter(tables.state::value),
+        )
+        val handler = filters.endingIn(ForwardHandler(allocator, client))
+        val address = HostPort(settings.httpAddress)
+        return embeddedServer(CIO, host = address.host, port = address.port) { serveCallers(handler) }
+    }
+
+    private fun adminServer(): EmbeddedServer<*, *> {
+        val address = HostPort(settings.adminAddress)
+        return embeddedServer(CIO, host = address.host, port = address.port) { serveAdmin(Admin()) }
+    }
+
+    private fun endpoints(): List<Endpoint> =
+        tables.state.value.pools?.value?.pools.orEmpty().flatMap { it.endpoints }.distinctBy { it.id }
+
+    private fun dataCentresOut(): Set<DataCentreId> = tables.state.value.pools?.value?.dataCentresOut.orEmpty()
+
+    private fun uptimeMillis(): Long = startedAt.elapsedNow().inWholeMilliseconds
+
+    private fun log(event: Event): Unit = EventLog.log(
+        event,
+        field("instance", settings.instance),
+        field("dataCentre", settings.dataCentre),
+        tokenField("startId", startId.value),
+    )
+
+    private inner class Admin : AdminSource {
+        override fun isReady(): Boolean =
+            !stopping && tables.state.value.let { it.routes != null && it.pools != null }
+
+        override fun scrape(): String = metrics.scrape()
+
+        override fun status(): InstanceStatus = InstanceStatus(
+            instance = settings.instance,
+            dataCentre = settings.dataCentre,
+            startId = startId,
+            ready = isReady(),
+            uptimeMillis = uptimeMillis(),
+            tables = tables.statusAt(uptimeMillis()),
+            heldBytes = memory.heldBytes,
+        )
+    }
+}
+
+/** Splits `host:port`. */
+internal class HostPort(address: String) {
+    val host: String = address.substringBeforeLast(':')
+    val port: Int = address.substringAfterLast(':').toInt()
+}
+
+private const val SERVER_GRACE_MILLIS: Long = 500
+private const val IDLE_POLL_MILLIS: Long = 50
--- a/entry/src/main/kotlin/pistachiopass/entry/endpoint/SseReader.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/endpoint/SseReader.kt
@@ -7,7 +7,7 @@
 package pistachiopass.entry.endpoint
 
 import io.ktor.utils.io.ByteReadChannel
-import io.ktor.utils.io.readUTF8Line
+import io.ktor.utils.io.readLineStrict
 
 /** Holds one server-sent event. */
 public data class SseEvent(val id: String?, val data: String)
@@ -17,7 +17,7 @@
     var id: String? = null
     val data = ArrayList<String>(1)
     while (true) {
-        val line = readUTF8Line(maxLineBytes) ?: return null
+        val line = readLineStrict(maxLineBytes.toLong()) ?: return null
         when {
             line.isEmpty() -> if (data.isNotEmpty()) return SseEvent(id, data.joinToString("\n"))
             line.startsWith("id:") -> id = line.fieldValue("id:")
--- a/entry/src/main/kotlin/pistachiopass/entry/filter/ForwardHandler.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/filter/ForwardHandler.kt
@@ -5,6 +5,7 @@
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.andThen
+import com.github.michaelbull.result.mapBoth
 import io.ktor.client.request.HttpRequestBuilder
 import io.ktor.client.request.header
 import io.ktor.client.request.setBody
@@ -52,7 +53,7 @@
         var ended = false
         try {
             val outcome = forward(context, allocation)
-            ended = outcome.isOk || outcome.error.verdict == Verdict.NOT_RUN
+            ended = outcome.mapBoth({ true }, { it.verdict == Verdict.NOT_RUN })
             return outcome
         } finally {
             withContext(NonCancellable) { allocation.release(ended || cancel(context, allocation)) }
--- /dev/null
+++ b/entry/src/main/kotlin/pistachiopass/entry/http/CallerServer.kt
@@ -0,0 +1,119 @@
+/** The HTTP server towards callers. */
+package pistachiopass.entry.http
+
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.onFailure
+import com.github.michaelbull.result.onSuccess
+import io.ktor.http.ContentType
+import io.ktor.http.Headers
+import io.ktor.http.HttpHeaders
+import io.ktor.http.HttpStatusCode
+import io.ktor.server.application.Application
+import io.ktor.server.application.ApplicationCall
+import io.ktor.server.request.httpMethod
+import io.ktor.server.request.path
+import io.ktor.server.request.receiveChannel
+import io.ktor.server.request.uri
+import io.ktor.server.response.header
+import io.ktor.server.response.respondBytes
+import io.ktor.server.response.respondBytesWriter
+import io.ktor.server.routing.route
+import io.ktor.server.routing.routing
+import io.ktor.utils.io.ByteWriteChannel
+import pistachiopass.entry.logging.Event
+import pistachiopass.entry.logging.EventLog
+import pistachiopass.entry.logging.field
+import pistachiopass.entry.logging.log
+import pistachiopass.model.Failure
+import pistachiopass.model.REQUEST_ID_HEADER
+import pistachiopass.model.RequestId
+import pistachiopass.model.WORKSPACE_HEADER
+import pistachiopass.model.WorkspaceId
+import java.util.UUID
+import kotlin.time.TimeSource
+
+/** Installs a route that passes every request to [handler] and replies with its failure, if it has one. */
+public fun Application.serveCallers(
+    handler: Handler,
+    timeSource: TimeSource.WithComparableMarks = TimeSource.Monotonic,
+    log: EventLog = EventLog,
+) {
+    routing {
+        route("{path...}") {
+            handle {
+                val exchange = call.exchange(timeSource)
+                val outcome = handler.handle(RequestContext(exchange))
+                finish(exchange, outcome, log)
+            }
+        }
+    }
+}
+
+private suspend fun finish(exchange: Exchange, outcome: Result<Completion, Failure>, log: EventLog) {
+    val durationMillis = field("durationMillis", exchange.arrivedAt.elapsedNow().inWholeMilliseconds)
+    outcome.onSuccess {
+        val status = field("status", it.status)
+        log.log(Event.REQUEST_FINISHED, exchange.requestId, status, field("bytes", it.bodyBytes), durationMillis)
+    }
+    outcome.onFailure { failure ->
+        val code = field("code", failure.code)
+        log.log(Event.REQUEST_FAILED, exchange.requestId, code, field("verdict", failure.verdict), durationMillis)
+        if (!exchange.reply.started) exchange.reply.sendFailure(failure, exchange.requestId)
+    }
+}
+
+private fun ApplicationCall.exchange(timeSource: TimeSource.WithComparableMarks): Exchange {
+    val requestId = RequestId(request.headers[REQUEST_ID_HEADER]?.takeIf { it.isWellFormedId() } ?: newRequestId())
+    return Exchange(
+        requestId = requestId,
+        workspace = WorkspaceId(request.headers[WORKSPACE_HEADER]?.takeIf { it.isWellFormedId() } ?: NO_WORKSPACE),
+        method = request.httpMethod,
+        path = request.path(),
+        uri = request.uri,
+        headers = request.headers,
+        arrivedAt = timeSource.markNow(),
+        body = receiveChannelOf(this),
+        reply = CallReply(this, requestId),
+    )
+}
+
+private fun receiveChannelOf(call: ApplicationCall) = call.request.receiveChannel()
+
+private fun newRequestId(): String = UUID.randomUUID().toString()
+
+private fun String.isWellFormedId(): Boolean = length in 1..MAX_ID_CHARS && all { it.isLetterOrDigit() || it in "-_." }
+
+private class CallReply(private val call: ApplicationCall, private val requestId: RequestId) : Reply {
+    override var started: Boolean = false
+        private set
+
+    override suspend fun send(status: HttpStatusCode, headers: Headers, body: ByteArray) {
+        begin(headers)
+        call.respondBytes(body, headers.contentTypeOrNull(), status)
+    }
+
+    override suspend fun stream(
+        status: HttpStatusCode,
+        headers: Headers,
+        write: suspend (ByteWriteChannel) -> Unit,
+    ) {
+        begin(headers)
+        call.respondBytesWriter(headers.contentTypeOrNull(), status) { write(this) }
+    }
+
+    private fun begin(headers: Headers) {
+        check(!started) { "the reply to request $requestId has begun already" }
+        started = true
+        call.response.header(REQUEST_ID_HEADER, requestId.value)
+        headers.forEach { name, values ->
+            if (!name.equals(HttpHeaders.ContentType, ignoreCase = true)) {
+                values.forEach { call.response.header(name, it) }
+            }
+        }
+    }
+
+    private fun Headers.contentTypeOrNull(): ContentType? = get(HttpHeaders.ContentType)?.let { ContentType.parse(it) }
+}
+
+private const val NO_WORKSPACE: String = "default"
+private const val MAX_ID_CHARS: Int = 128
