Read settings with all problems at once and publish their schema

Cause: the daemon needs settings it can refuse as a whole before it serves, and callers need their page. Settings no longer print the shared key.

--- /dev/null
+++ b/entry/src/main/kotlin/pistachiopass/entry/settings/FieldRules.kt
@@ -0,0 +1,98 @@
+/** Rules that the values of single settings keep. */
+package pistachiopass.entry.settings
+
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonObjectBuilder
+import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.longOrNull
+import kotlinx.serialization.json.put
+import java.util.Base64
+
+/** Decides which values a field takes and says so to operators and in the schema. */
+internal sealed interface FieldRule {
+    /** Completes the sentence "expected …". */
+    val expected: String
+
+    /** Is the part of the JSON schema that describes the values. */
+    val schema: JsonObject
+
+    fun accepts(value: JsonPrimitive): Boolean
+}
+
+/** Accepts integers within [range]. */
+internal class RangeRule(private val range: LongRange, unit: String) : FieldRule {
+    override val expected: String = "an integer from ${range.first} to ${range.last} $unit"
+
+    override val schema: JsonObject =
+        buildJsonObject {
+            put("type", "integer")
+            put("minimum", range.first)
+            put("maximum", range.last)
+        }
+
+    override fun accepts(value: JsonPrimitive): Boolean = !value.isString && value.longOrNull.let {
+        it != null && it in range
+    }
+}
+
+/** Accepts names of 1 to 64 letters, digits, `.`, `_` and `-`. */
+internal data object NameRule : FieldRule {
+    private val pattern = Regex("[A-Za-z0-9][A-Za-z0-9._-]{0,63}")
+
+    override val expected: String = "a name of 1 to 64 letters, digits, '.', '_' and '-'"
+
+    override val schema: JsonObject = stringSchema { put("pattern", "^${pattern.pattern}$") }
+
+    override fun accepts(value: JsonPrimitive): Boolean = value.isString && value.content matches pattern
+}
+
+/** Accepts host and port; the port is at least [portMin], and 0 lets the system choose one. */
+internal class AddressRule(private val portMin: Int) : FieldRule {
+    private val pattern = Regex("(?:[A-Za-z0-9._-]+|\\[[0-9A-Fa-f:.]+\\]):([0-9]{1,5})")
+
+    override val expected: String = "host:port with a port from $portMin to $PORT_MAX"
+
+    override val schema: JsonObject = stringSchema { put("pattern", "^${pattern.pattern}$") }
+
+    override fun accepts(value: JsonPrimitive): Boolean {
+        val port = pattern.matchEntire(value.content)?.groupValues?.last()?.toInt()
+        return value.isString && port != null && port in portMin..PORT_MAX
+    }
+}
+
+/** Accepts keys of at least 32 bytes in base64. */
+internal data object KeyRule : FieldRule {
+    private const val BYTES_MIN: Int = 32
+    private const val BASE64_LENGTH_MIN: Int = 43
+
+    override val expected: String = "base64 of at least $BYTES_MIN bytes"
+
+    override val schema: JsonObject =
+        stringSchema {
+            put("contentEncoding", "base64")
+            put("minLength", BASE64_LENGTH_MIN)
+        }
+
+    override fun accepts(value: JsonPrimitive): Boolean =
+        value.isString && decodedSize(value.content).let { it != null && it >= BYTES_MIN }
+
+    private fun decodedSize(text: String): Int? = runCatching { Base64.getDecoder().decode(text).size }.getOrNull()
+}
+
+/** Accepts names of files; whether they can be read is checked when they are. */
+internal data object FileRule : FieldRule {
+    override val expected: String = "the name of a file"
+
+    override val schema: JsonObject = stringSchema { put("pattern", "\\S") }
+
+    override fun accepts(value: JsonPrimitive): Boolean = value.isString && value.content.isNotBlank()
+}
+
+private const val PORT_MAX: Int = 65_535
+
+private fun stringSchema(rest: JsonObjectBuilder.() -> Unit): JsonObject =
+    buildJsonObject {
+        put("type", "string")
+        rest()
+    }
--- a/entry/src/main/kotlin/pistachiopass/entry/settings/Settings.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/settings/Settings.kt
@@ -1,14 +1,17 @@
-/** Settings of the daemon, read from one JSON file at start. */
+/** Settings of the daemon, read from one JSON file at start; [settingsFields] holds the rules that the values keep. */
 package pistachiopass.entry.settings
 
 import kotlinx.serialization.Serializable
+import pistachiopass.entry.logging.HIDDEN
 import pistachiopass.model.DataCentreId
 import pistachiopass.model.InstanceId
 
 /** Holds all settings of one instance; fields without a default must be given. */
 @Serializable
 public data class Settings(
+    /** Name of the instance, unique over all data centres. */
     val instance: InstanceId,
+    /** Data centre of the instance. */
     val dataCentre: DataCentreId,
     /** Host and port on which callers are served. */
     val httpAddress: String,
@@ -20,9 +23,16 @@
     val platformAddress: String,
     /** Key shared by all instances, in base64, at least 32 bytes; authenticates peers and signs keys and event ids. */
     val sharedKey: String,
+    /** Bounds on what the instance holds for callers. */
     val limits: LimitSettings = LimitSettings(),
+    /** Keys for TLS; without them all connections are plain. */
     val tls: TlsSettings? = null,
-)
+) {
+    /** Returns the settings without the shared key. */
+    override fun toString(): String =
+        "Settings(instance=$instance, dataCentre=$dataCentre, httpAddress=$httpAddress, peerAddress=$peerAddress, " +
+            "adminAddress=$adminAddress, platformAddress=$platformAddress, sharedKey=$HIDDEN, limits=$limits, tls=$tls)"
+}
 
 /** Bounds on what the instance holds for callers. */
 @Serializable
--- /dev/null
+++ b/entry/src/main/kotlin/pistachiopass/entry/settings/SettingsCatalogue.kt
@@ -0,0 +1,100 @@
+/**
+ * The catalogue of settings: the rule and the meaning of each field of [Settings].
+ *
+ * The reader, the schema and docs/SETTINGS.md follow it; which fields are required and what the defaults are follows
+ * from the classes.
+ */
+package pistachiopass.entry.settings
+
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonElement
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.encodeToJsonElement
+import kotlinx.serialization.json.long
+
+/** Describes the field at [path]; the value of a [secret] one is never printed. */
+internal data class SettingsField(
+    val path: String,
+    val rule: FieldRule,
+    val meaning: String,
+    val secret: Boolean = false,
+)
+
+/** Demands something of the values of two fields; [path] is the one that is reported. */
+internal data class PairRule(
+    val path: String,
+    val other: String,
+    val expected: String,
+    val accepts: (JsonPrimitive, JsonPrimitive) -> Boolean,
+)
+
+private const val KIBIBYTE: Long = 1024
+private const val MEBIBYTE: Long = 1024 * KIBIBYTE
+private const val GIBIBYTE: Long = 1024 * MEBIBYTE
+private const val HELD_MAX_GIBIBYTES: Long = 64
+private const val STREAM_BUFFER_MAX_MEBIBYTES: Long = 16
+private const val TIME_MIN_MILLIS: Long = 100
+private const val TIME_MAX_MILLIS: Long = 3_600_000
+private val BODY_RANGE = RangeRule(KIBIBYTE..GIBIBYTE, "bytes")
+private val HELD_RANGE = RangeRule(KIBIBYTE..HELD_MAX_GIBIBYTES * GIBIBYTE, "bytes")
+private val STREAM_BUFFER_RANGE = RangeRule(KIBIBYTE..STREAM_BUFFER_MAX_MEBIBYTES * MEBIBYTE, "bytes")
+private val TIME_RANGE = RangeRule(TIME_MIN_MILLIS..TIME_MAX_MILLIS, "milliseconds")
+
+internal val settingsFields: List<SettingsField> =
+    listOf(
+        SettingsField("instance", NameRule, "Name of the instance, unique over all data centres."),
+        SettingsField("dataCentre", NameRule, "Data centre of the instance."),
+        SettingsField("httpAddress", AddressRule(portMin = 0), "Where callers are served."),
+        SettingsField("peerAddress", AddressRule(portMin = 0), "Where the other instances are served."),
+        SettingsField(
+            "adminAddress",
+            AddressRule(portMin = 0),
+            "Where metrics, health, readiness and status are served.",
+        ),
+        SettingsField("platformAddress", AddressRule(portMin = 1), "The platform's configuration service."),
+        SettingsField(
+            "sharedKey",
+            KeyRule,
+            "Key shared by all instances; authenticates peers and signs keys and event ids.",
+            secret = true,
+        ),
+        SettingsField("limits.bodyBytes", BODY_RANGE, "Longest request body that is read."),
+        SettingsField("limits.heldBytes", HELD_RANGE, "Memory for request bodies and stream buffers together."),
+        SettingsField("limits.streamBufferBytes", STREAM_BUFFER_RANGE, "Buffer of one stream."),
+        SettingsField(
+            "limits.stallMillis",
+            TIME_RANGE,
+            "Longest time for which a caller may take no byte of its answer.",
+        ),
+        SettingsField("limits.readIdleMillis", TIME_RANGE, "Longest silence on an open connection to an endpoint."),
+        SettingsField("limits.stopMillis", TIME_RANGE, "Longest time from the stop signal to the end of the process."),
+        SettingsField("tls.keyStoreFile", FileRule, "PKCS #12 file with the instance's key and certificate chain."),
+        SettingsField("tls.keyStorePasswordFile", FileRule, "File that holds the password of the key store."),
+        SettingsField(
+            "tls.trustStoreFile",
+            FileRule,
+            "PKCS #12 file with the certificates that peers are checked against.",
+        ),
+        SettingsField("tls.trustStorePasswordFile", FileRule, "File that holds the password of the trust store."),
+    )
+
+internal val pairRules: List<PairRule> =
+    listOf(
+        PairRule("limits.heldBytes", "limits.bodyBytes", "at least limits.bodyBytes", ::isAtLeast),
+        PairRule("limits.heldBytes", "limits.streamBufferBytes", "at least limits.streamBufferBytes", ::isAtLeast),
+        PairRule("peerAddress", "httpAddress", "an address other than httpAddress", ::canBothBind),
+        PairRule("adminAddress", "httpAddress", "an address other than httpAddress", ::canBothBind),
+        PairRule("adminAddress", "peerAddress", "an address other than peerAddress", ::canBothBind),
+    )
+
+/** Returns the default of the field at [path], or null if it has to be given. */
+internal fun defaultOrNull(path: String): JsonElement? = limitDefaults[path.removePrefix("limits.")]
+
+private fun isAtLeast(value: JsonPrimitive, other: JsonPrimitive): Boolean = value.long >= other.long
+
+private fun canBothBind(address: JsonPrimitive, other: JsonPrimitive): Boolean =
+    address != other || address.content.endsWith(":0")
+
+private val limitDefaults: JsonObject =
+    Json { encodeDefaults = true }.encodeToJsonElement(LimitSettings()) as JsonObject
