--- a/entry/src/main/kotlin/pistachiopass/entry/Main.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/Main.kt
@@ -1,29 +1,60 @@
 /** Entry point of the daemon `pistachiopass`. */
 package pistachiopass.entry
 
+import com.github.michaelbull.result.mapBoth
 import kotlinx.cli.ArgParser
 import kotlinx.cli.ArgType
 import kotlinx.cli.required
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.runBlocking
-import kotlinx.serialization.json.Json
 import pistachiopass.entry.settings.Settings
+import pistachiopass.entry.settings.SettingsError
+import pistachiopass.entry.settings.formatSettingsErrors
+import pistachiopass.entry.settings.readSettings
 import java.io.File
+import java.io.IOException
+import kotlin.system.exitProcess
 
 /** Starts the daemon with the settings file that the arguments name, and stops it in order on SIGTERM. */
 public fun main(args: Array<String>) {
+    if ("--version" in args) {
+        println("pistachiopass $VERSION")
+        return
+    }
     val parser = ArgParser("pistachiopass")
-    val settingsFile by parser.option(ArgType.String, "settings", description = "JSON file with the settings").required()
+    val settingsFile by parser
+        .option(ArgType.String, "settings", description = "JSON file with the settings, docs/SETTINGS.md")
+        .required()
     parser.parse(args)
-    run(Json.decodeFromString<Settings>(File(settingsFile).readText()))
+    readSettings(readFileOrExit(settingsFile), settingsFile).mapBoth(::run, ::refuse)
 }
 
 private fun run(settings: Settings): Unit = runBlocking {
     val daemon = Daemon(settings)
     val stopped = CompletableDeferred<Unit>()
-    Runtime.getRuntime().addShutdownHook(
-        Thread { runBlocking { daemon.stop() }; stopped.complete(Unit) },
-    )
+    val stop = Thread {
+        runBlocking { daemon.stop() }
+        stopped.complete(Unit)
+    }
+    Runtime.getRuntime().addShutdownHook(stop)
     daemon.start()
     stopped.await()
 }
+
+private fun readFileOrExit(file: String): String =
+    try {
+        File(file).readText()
+    } catch (exception: IOException) {
+        System.err.println("--settings $file: cannot be read: ${exception.message}")
+        exitProcess(EXIT_BAD_SETTINGS)
+    }
+
+private fun refuse(errors: List<SettingsError>) {
+    System.err.println(formatSettingsErrors(errors))
+    exitProcess(EXIT_BAD_SETTINGS)
+}
+
+/** Version of the workspace. */
+public const val VERSION: String = "0.1.0"
+
+private const val EXIT_BAD_SETTINGS: Int = 2
--- a/entry/src/main/kotlin/pistachiopass/entry/body/ChatRequest.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/body/ChatRequest.kt
@@ -113,8 +113,8 @@
 
     private fun expect(field: String, holds: Boolean, expected: String): Boolean {
         if (!holds) {
-            val line = parser.currentLocation().lineNr
-            problem = problem ?: "$field: expected $expected, at line $line, column ${parser.currentLocation().columnNr}"
+            val place = parser.currentLocation()
+            problem = problem ?: "$field: expected $expected, at line ${place.lineNr}, column ${place.columnNr}"
             parser.skipChildren()
         }
         return holds
--- a/entry/src/main/kotlin/pistachiopass/entry/body/RequestBody.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/body/RequestBody.kt
@@ -24,13 +24,13 @@
 public class BodyReader(private val maxBodyBytes: Long, private val memory: HeldMemory) {
     /** Reads the whole body; [declaredBytes] is the content length when the caller stated it. */
     public suspend fun read(channel: ByteReadChannel, declaredBytes: Long?): Result<RequestBody, Failure> {
-        if (declaredBytes != null && declaredBytes > maxBodyBytes) return Err(tooLong(declaredBytes))
         val reservation = Reservation(memory)
         var complete = false
         try {
-            val failure = reservation.grow(declaredBytes ?: 0)
-            if (failure != null) return Err(failure)
-            return readReserved(channel, reservation).also { complete = it.isOk }
+            val failure = tooLongOrNull(declaredBytes ?: 0) ?: reservation.grow(declaredBytes ?: 0)
+            val outcome = if (failure == null) readReserved(channel, reservation) else Err(failure)
+            complete = outcome.isOk
+            return outcome
         } finally {
             if (!complete) reservation.release()
         }
@@ -49,13 +49,11 @@
         return failure?.let { Err(it) } ?: Ok(RequestBody(buffer.toByteArray(), reservation.bytes, memory))
     }
 
-    private fun tooLongOrNull(bytes: Long): Failure? = if (bytes > maxBodyBytes) tooLong(bytes) else null
-
-    private fun tooLong(bytes: Long): Failure = Failure(
-        FailureCode.PROMPT_TOO_LARGE,
-        Verdict.NOT_RUN,
-        "body of at least $bytes bytes exceeds the limit of $maxBodyBytes bytes",
-    )
+    private fun tooLongOrNull(bytes: Long): Failure? {
+        if (bytes <= maxBodyBytes) return null
+        val message = "body of at least $bytes bytes exceeds the limit of $maxBodyBytes bytes"
+        return Failure(FailureCode.PROMPT_TOO_LARGE, Verdict.NOT_RUN, message)
+    }
 }
 
 private class Reservation(private val memory: HeldMemory) {
--- a/entry/src/main/kotlin/pistachiopass/entry/endpoint/EndpointClient.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/endpoint/EndpointClient.kt
@@ -2,7 +2,6 @@
 package pistachiopass.entry.endpoint
 
 import com.github.michaelbull.result.Err
-import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
 import io.ktor.client.HttpClient
 import io.ktor.client.engine.cio.CIO
--- a/entry/src/main/kotlin/pistachiopass/entry/filter/BodyFilter.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/filter/BodyFilter.kt
@@ -21,7 +21,7 @@
 public class BodyFilter(private val reader: BodyReader) : Filter {
     override suspend fun filter(context: RequestContext, next: Handler): Result<Completion, Failure> {
         val exchange = context.exchange
-        val declaredBytes = exchange.headers[HttpHeaders.ContentLength]?.toLongOrNull()
+        val declaredBytes = exchange.head.headers[HttpHeaders.ContentLength]?.toLongOrNull()
         return reader.read(exchange.body, declaredBytes).andThen { body ->
             body.use { handleWith(context, body, next) }
         }
@@ -35,8 +35,8 @@
         factsOf(context.exchange, body).andThen { facts -> next.handle(context.copy(body = body, facts = facts)) }
 
     private fun factsOf(exchange: Exchange, body: RequestBody): Result<RequestFacts, Failure> {
-        val plain = RequestFacts(exchange.path, exchange.workspace)
-        if (!exchange.path.startsWith(CHAT_COMPLETIONS_PATH)) return Ok(plain)
+        val plain = RequestFacts(exchange.head.path, exchange.workspace)
+        if (!exchange.head.path.startsWith(CHAT_COMPLETIONS_PATH)) return Ok(plain)
         return readChatRequest(body.bytes).map { chat ->
             plain.copy(
                 model = chat.model,
--- a/entry/src/main/kotlin/pistachiopass/entry/filter/RouteFilter.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/filter/RouteFilter.kt
@@ -2,9 +2,10 @@
 package pistachiopass.entry.filter
 
 import com.github.michaelbull.result.Err
-import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.andThen
+import com.github.michaelbull.result.map
+import com.github.michaelbull.result.toResultOr
 import kotlinx.coroutines.withTimeoutOrNull
 import pistachiopass.entry.http.Completion
 import pistachiopass.entry.http.Filter
@@ -18,6 +19,7 @@
 import pistachiopass.entry.logging.log
 import pistachiopass.model.Failure
 import pistachiopass.model.FailureCode
+import pistachiopass.model.Pool
 import pistachiopass.model.Route
 import pistachiopass.model.Verdict
 import pistachiopass.routing.routeOrNull
@@ -44,18 +46,29 @@
 
     private fun targetOf(context: RequestContext): Result<Target, Failure> {
         val state = tables()
-        val exchange = context.exchange
-        val route = state.routes?.value?.routeOrNull(context.requireFacts())
-        if (route == null) {
-            log.log(Event.NO_ROUTE, exchange.requestId, field("workspace", exchange.workspace))
-            return Err(notRun(FailureCode.NO_ROUTE, "no route matches ${exchange.method.value} ${exchange.path}"))
+        return routeOf(context, state).andThen { route ->
+            poolOf(route, state).map { pool -> targetOf(context, route, pool) }
         }
-        val pool = state.pools?.value?.pools?.firstOrNull { it.name == route.pool }
-            ?: return Err(notRun(FailureCode.NO_ENDPOINT, "pool ${route.pool} of route ${route.name} is not published"))
+    }
+
+    private fun targetOf(context: RequestContext, route: Route, pool: Pool): Target {
+        val exchange = context.exchange
         log.log(Event.ROUTE_CHOSEN, exchange.requestId, field("route", route.name), field("pool", pool.name))
-        return Ok(Target(route, pool, exchange.arrivedAt + route.timeoutMillis.milliseconds))
+        return Target(route, pool, exchange.arrivedAt + route.timeoutMillis.milliseconds)
     }
 
+    private fun routeOf(context: RequestContext, state: TablesState): Result<Route, Failure> =
+        state.routes?.value?.routeOrNull(context.requireFacts()).toResultOr {
+            val exchange = context.exchange
+            log.log(Event.NO_ROUTE, exchange.requestId, field("workspace", exchange.workspace))
+            notRun(FailureCode.NO_ROUTE, "no route matches ${exchange.head.method.value} ${exchange.head.path}")
+        }
+
+    private fun poolOf(route: Route, state: TablesState): Result<Pool, Failure> =
+        state.pools?.value?.pools?.firstOrNull { it.name == route.pool }.toResultOr {
+            notRun(FailureCode.NO_ENDPOINT, "pool ${route.pool} of route ${route.name} is not published")
+        }
+
     private fun timedOut(route: Route): Failure = Failure(
         FailureCode.TIMEOUT,
         Verdict.MAY_HAVE_RUN,
--- a/entry/src/main/kotlin/pistachiopass/entry/filter/StopFilter.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/filter/StopFilter.kt
@@ -35,7 +35,11 @@
     }
 
     private fun refusal(): Result<Completion, Failure> =
-        notRun(FailureCode.STOPPING, "the instance is stopping; another one takes the request", RETRY_MILLIS).asOutcome()
+        notRun(
+            FailureCode.STOPPING,
+            "the instance is stopping; another one takes the request",
+            RETRY_MILLIS
+        ).asOutcome()
 }
 
 private const val RETRY_MILLIS: Long = 1_000
--- a/entry/src/main/kotlin/pistachiopass/entry/http/CallerServer.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/http/CallerServer.kt
@@ -12,7 +12,6 @@
 import io.ktor.server.application.ApplicationCall
 import io.ktor.server.request.httpMethod
 import io.ktor.server.request.path
-import io.ktor.server.request.receiveChannel
 import io.ktor.server.request.uri
 import io.ktor.server.response.header
 import io.ktor.server.response.respondBytes
@@ -67,18 +66,13 @@
     return Exchange(
         requestId = requestId,
         workspace = WorkspaceId(request.headers[WORKSPACE_HEADER]?.takeIf { it.isWellFormedId() } ?: NO_WORKSPACE),
-        method = request.httpMethod,
-        path = request.path(),
-        uri = request.uri,
-        headers = request.headers,
+        head = RequestHead(request.httpMethod, request.path(), request.uri, request.headers),
         arrivedAt = timeSource.markNow(),
-        body = receiveChannelOf(this),
+        body = request.receiveChannel(),
         reply = CallReply(this, requestId),
     )
 }
 
-private fun receiveChannelOf(call: ApplicationCall) = call.request.receiveChannel()
-
 private fun newRequestId(): String = UUID.randomUUID().toString()
 
 private fun String.isWellFormedId(): Boolean = length in 1..MAX_ID_CHARS && all { it.isLetterOrDigit() || it in "-_." }
--- a/entry/src/main/kotlin/pistachiopass/entry/http/Exchange.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/http/Exchange.kt
@@ -14,15 +14,20 @@
 public class Exchange(
     public val requestId: RequestId,
     public val workspace: WorkspaceId,
+    public val head: RequestHead,
+    public val arrivedAt: ComparableTimeMark,
+    public val body: ByteReadChannel,
+    public val reply: Reply,
+)
+
+/** Holds the method, the address and the headers of a request. */
+public class RequestHead(
     public val method: HttpMethod,
     /** Path without the query. */
     public val path: String,
     /** Path and query as sent. */
     public val uri: String,
     public val headers: Headers,
-    public val arrivedAt: ComparableTimeMark,
-    public val body: ByteReadChannel,
-    public val reply: Reply,
 )
 
 /** Writes the reply to the caller. */
--- a/entry/src/main/kotlin/pistachiopass/entry/http/FailureReplies.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/http/FailureReplies.kt
@@ -75,8 +75,9 @@
 /** Names the header of the key that makes a repeated request safe. */
 public const val IDEMPOTENCY_KEY_HEADER: String = "Idempotency-Key"
 
-private val PRECONDITION_REQUIRED: HttpStatusCode = HttpStatusCode(428, "Precondition Required")
+private val PRECONDITION_REQUIRED: HttpStatusCode = HttpStatusCode(PRECONDITION_REQUIRED_STATUS, "Precondition Required")
 
 private val errorJson: Json = Json { explicitNulls = false }
 
 private const val MILLIS_PER_SECOND: Long = 1_000
+private const val PRECONDITION_REQUIRED_STATUS: Int = 428
--- a/entry/src/main/kotlin/pistachiopass/entry/platform/PlatformClient.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/platform/PlatformClient.kt
@@ -52,7 +52,9 @@
     }
 
     override suspend fun watch(document: String, after: TableVersion, waitMillis: Long): WatchOutcome {
-        require(waitMillis <= LONGEST_WAIT_MILLIS) { "waitMillis must be at most $LONGEST_WAIT_MILLIS, was $waitMillis" }
+        require(
+            waitMillis <= LONGEST_WAIT_MILLIS
+        ) { "waitMillis must be at most $LONGEST_WAIT_MILLIS, was $waitMillis" }
         val uri = "http://$address/v1/documents/$document?after=$after&waitMillis=$waitMillis"
         return try {
             val response = client.get(uri) { header("X-Instance", instance.value) }
--- a/entry/src/main/kotlin/pistachiopass/entry/platform/TablesController.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/platform/TablesController.kt
@@ -69,8 +69,10 @@
     }
 
     private fun backoffMillis(failures: Int): Long {
-        val ceiling = (FIRST_BACKOFF_MILLIS shl (failures - 1).coerceAtMost(MAX_DOUBLINGS)).coerceAtMost(MAX_BACKOFF_MILLIS)
-        return random.nextLong(ceiling / 2, ceiling)
+        val ceilingMillis = (FIRST_BACKOFF_MILLIS shl (failures - 1).coerceAtMost(MAX_DOUBLINGS)).coerceAtMost(
+            MAX_BACKOFF_MILLIS
+        )
+        return random.nextLong(ceilingMillis / 2, ceilingMillis)
     }
 }
 
