--- a/standins/src/main/kotlin/pistachiopass/standins/Main.kt
+++ b/standins/src/main/kotlin/pistachiopass/standins/Main.kt
@@ -4,6 +4,7 @@
 import kotlinx.cli.ArgParser
 import kotlinx.cli.ExperimentalCli
 import kotlinx.cli.Subcommand
+import pistachiopass.standins.engine.EngineCommand
 import pistachiopass.standins.plain.PlainCommand
 import pistachiopass.standins.platform.PlatformCommand
 
@@ -21,4 +22,5 @@
     listOf(
         PlatformCommand(),
         PlainCommand(),
+        EngineCommand(),
     )
--- a/standins/src/main/kotlin/pistachiopass/standins/engine/EngineServer.kt
+++ b/standins/src/main/kotlin/pistachiopass/standins/engine/EngineServer.kt
@@ -9,6 +9,7 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.launch
+import pistachiopass.standins.fault.FaultActions
 import pistachiopass.standins.fault.FaultSetting
 import pistachiopass.standins.fault.FaultSwitches
 import pistachiopass.standins.fault.FaultyServer
@@ -19,9 +20,18 @@
 import pistachiopass.standins.fault.startFaultyServer
 import java.util.UUID
 import java.util.concurrent.ConcurrentHashMap
-
-/** Serves one engine on [port] of the loopback interface; 0 takes a free port. */
-internal class EngineServer(settings: EngineSettings, private val port: Int) {
+import kotlin.concurrent.thread
+
+/**
+ * Serves one engine on [port] of the loopback interface; 0 takes a free port.
+ *
+ * The fault `kill` ends the process when the engine [isAlone] in it, and else the engine's server.
+ */
+internal class EngineServer(
+    private val settings: EngineSettings,
+    private val port: Int,
+    private val isAlone: Boolean = true,
+) : FaultActions {
     private val faults: FaultSwitches = FaultSwitches()
     private val core: EngineCore = EngineCore(settings, ::newStartId) { server?.resetAll(adminPorts) }
     private val runner: EngineRunner = EngineRunner(core, faults)
@@ -35,7 +45,7 @@
 
     /** Starts to serve and returns the port. */
     suspend fun start(scope: CoroutineScope): Int {
-        val started = startFaultyServer(port, faults, ENGINE_FAULTS, ::onFault) { addRoutes() }
+        val started = startFaultyServer(port, faults, ENGINE_FAULTS, this) { addRoutes() }
         server = started
         steps = scope.launch { runner.run() }
         return started.port
@@ -58,10 +68,17 @@
                 }
             }
         }
-        routing { EngineRoutes(runner, faults).addTo(this) }
+        routing {
+            EngineRoutes(runner, faults).addTo(this)
+            ControlRoutes(runner, settings).addTo(this)
+        }
+    }
+
+    override fun kill() {
+        if (isAlone) super.kill() else thread(isDaemon = true) { stop() }
     }
 
-    private fun onFault(setting: FaultSetting) {
+    override suspend fun onChange(setting: FaultSetting) {
         if (!setting.on) return
         when (setting.fault) {
             COLD -> runner.use { chill(it) }
--- a/standins/src/main/kotlin/pistachiopass/standins/engine/EngineSettings.kt
+++ b/standins/src/main/kotlin/pistachiopass/standins/engine/EngineSettings.kt
@@ -23,6 +23,8 @@
     val prefillTokensPerSecond: Long = 50_000,
     /** Decode speed of one stream on an engine that prefills nothing. */
     val decodeTokensPerSecond: Long = 50,
+    /** Speed at which KV caches are exported and imported. */
+    val kvTokensPerSecond: Long = 1_000_000,
     /** Tokens that one step can process, prefill chunks and decodes together. */
     val stepTokens: Int = 512,
     /** Memory of the prefix cache. */
--- a/standins/src/main/kotlin/pistachiopass/standins/engine/LoadedModels.kt
+++ b/standins/src/main/kotlin/pistachiopass/standins/engine/LoadedModels.kt
@@ -34,18 +34,37 @@
         return null
     }
 
-    /** Carries out an order that was not refused and returns whether its kind is known. */
-    fun apply(order: EngineOrder): Boolean {
+    /** Carries out an order that is complete and was not refused. */
+    fun apply(order: EngineOrder) {
         when (order.kind) {
-            "load-model" -> models += requireModel(order)
-            "unload-model" -> models -= requireModel(order)
-            "load-adapter" -> adapters += requireModel(order)
-            "set-role" -> role = requireNotNull(order.role) { "order set-role without a role" }
-            else -> return false
+            LOAD_MODEL -> models += order.model.orEmpty()
+            UNLOAD_MODEL -> models -= order.model.orEmpty()
+            LOAD_ADAPTER -> adapters += order.model.orEmpty()
+            SET_ROLE -> role = order.role.orEmpty()
+            else -> error("order of unknown kind ${order.kind}")
         }
-        return true
+    }
+}
+
+/** Whether the order is of a known kind and names what it concerns. */
+internal val EngineOrder.isComplete: Boolean
+    get() = when (kind) {
+        LOAD_MODEL, UNLOAD_MODEL, LOAD_ADAPTER -> !model.isNullOrEmpty()
+        SET_ROLE -> !role.isNullOrEmpty()
+        else -> false
     }
 
-    private fun requireModel(order: EngineOrder): String =
-        requireNotNull(order.model) { "order ${order.kind} without a model" }
+/** Carries out an order, or returns its refusal when it carries an old fencing number. */
+internal fun EngineCore.applyOrder(order: EngineOrder, nowMillis: Long): OrderAnswer? {
+    val refusal = loaded.refusalOrNull(order)
+    if (refusal == null) {
+        loadHistory.beforeChange(nowMillis, ::currentLoad)
+        loaded.apply(order)
+    }
+    return refusal
 }
+
+private const val LOAD_MODEL: String = "load-model"
+private const val UNLOAD_MODEL: String = "unload-model"
+private const val LOAD_ADAPTER: String = "load-adapter"
+private const val SET_ROLE: String = "set-role"
--- a/standins/src/main/kotlin/pistachiopass/standins/fault/FaultyServer.kt
+++ b/standins/src/main/kotlin/pistachiopass/standins/fault/FaultyServer.kt
@@ -29,13 +29,13 @@
 /**
  * Starts [module] on [port] of the loopback interface and returns the server; port 0 takes a free one.
  *
- * [supported] names the faults that can be switched. [onChange] is called after each switch.
+ * [supported] names the faults that can be switched. [actions] carry out those that act when switched.
  */
 public suspend fun startFaultyServer(
     port: Int,
     switches: FaultSwitches,
     supported: Set<String> = GENERIC_FAULTS,
-    onChange: suspend (FaultSetting) -> Unit = {},
+    actions: FaultActions = DefaultFaultActions,
     module: Application.() -> Unit,
 ): FaultyServer {
     var front: TcpFront? = null
@@ -45,7 +45,7 @@
                 this.switches = switches
                 this.front = { front }
             }
-            routing { faultRoutes(switches, supported, { front }, onChange = onChange) }
+            routing { faultRoutes(switches, supported, { front }, actions) }
             module()
         }
     server.startSuspend(wait = false)
--- a/standins/src/main/kotlin/pistachiopass/standins/platform/Platform.kt
+++ b/standins/src/main/kotlin/pistachiopass/standins/platform/Platform.kt
@@ -2,6 +2,8 @@
 package pistachiopass.standins.platform
 
 import io.ktor.server.routing.routing
+import pistachiopass.standins.fault.FaultActions
+import pistachiopass.standins.fault.FaultSetting
 import pistachiopass.standins.fault.FaultSwitches
 import pistachiopass.standins.fault.FaultyServer
 import pistachiopass.standins.fault.GENERIC_FAULTS
@@ -24,7 +26,10 @@
         port = port,
         switches = switches,
         supported = GENERIC_FAULTS + STALE + ABSENT,
-        onChange = { store.setStale(switches[STALE] != null) },
+        actions =
+        object : FaultActions {
+            override suspend fun onChange(setting: FaultSetting) = store.setStale(switches[STALE] != null)
+        },
     ) {
         routing {
             documentRoutes(store, calls, switches)
