--- a/entry/src/main/kotlin/pistachiopass/entry/logging/EventField.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/logging/EventField.kt
@@ -34,8 +34,13 @@
 /** Returns a field with a verdict as callers see it. */
 public fun field(name: String, value: Verdict): EventField = EventField(name, value.text)
 
-/** Returns a field with the class of [error]; its message is left out, since it may quote a body. */
-public fun field(name: String, error: Throwable): EventField = EventField(name, error.javaClass.name)
+/** Returns a field with class and origin of [error]; its message is left out, since it may quote a body. */
+public fun field(name: String, error: Throwable): EventField {
+    val frames = error.stackTrace
+    val origin = frames.find { it.className.startsWith(PROJECT_PREFIX) } ?: frames.firstOrNull()
+    val place = origin?.let { " at ${it.fileName}:${it.lineNumber}" }.orEmpty()
+    return EventField(name, error.javaClass.name + place)
+}
 
 /**
  * Returns a field with a short token, such as an address, the path of a field or a reason.
@@ -59,6 +64,7 @@
 internal fun safeToken(text: String): String =
     if (text.length <= TOKEN_LENGTH_MAX && text matches TOKEN && !text.contains(KEY_LIKE)) text else HIDDEN
 
+private const val PROJECT_PREFIX: String = "pistachiopass."
 private const val FINGERPRINT_BYTES: Int = 6
 private val FIELD_NAME = Regex("[a-z][A-Za-z0-9]*")
 private val RESERVED_NAMES = setOf("time", "level", "event", "number", "requestId")
--- a/entry/src/test/kotlin/pistachiopass/entry/logging/EventLogTest.kt
+++ b/entry/src/test/kotlin/pistachiopass/entry/logging/EventLogTest.kt
@@ -22,6 +22,7 @@
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertFalse
+import kotlin.test.assertTrue
 
 class EventLogTest {
     @Test
@@ -71,6 +72,12 @@
         assertFalse(PROMPT in line || KEY in line, line)
     }
 
+    @Test
+    fun `an exception is written with class and place`() {
+        val value = field("error", IllegalStateException(PROMPT)).toString()
+        assertTrue(value.matches(Regex("error=java.lang.IllegalStateException at EventLogTest.kt:\\d+")), value)
+    }
+
     @Test
     fun `names of fields cannot replace those of the line`() {
         listOf("event", "number", "requestId", "time", "level", "Route", "a b").forEach {
