--- a/entry/src/test/kotlin/pistachiopass/entry/Documents.kt
+++ b/entry/src/test/kotlin/pistachiopass/entry/TestTables.kt
@@ -1,6 +1,7 @@
-/** Reads pages of the workspace's docs, which tests hold against the code. */
+/** Helpers of tests: pages that are held against the code, and tables of cases. */
 package pistachiopass.entry
 
+import org.junit.jupiter.api.DynamicTest
 import java.nio.file.Path
 import kotlin.io.path.readLines
 import kotlin.io.path.readText
@@ -10,3 +11,7 @@
 /** Returns the rows of all tables of a page whose first cell is in backticks or a number. */
 internal fun tableRows(path: String): List<String> =
     Path.of(System.getProperty("workspace.root"), path).readLines().filter { it.matches(Regex("\\| [`0-9].*\\|")) }
+
+/** Returns one test for each of [cases]. */
+internal fun <T> casesOf(cases: List<T>, check: (T) -> Unit): List<DynamicTest> =
+    cases.mapIndexed { index, case -> DynamicTest.dynamicTest("$index: $case") { check(case) } }
--- a/entry/src/test/kotlin/pistachiopass/entry/logging/EventLogTest.kt
+++ b/entry/src/test/kotlin/pistachiopass/entry/logging/EventLogTest.kt
@@ -9,10 +9,9 @@
 import org.apache.logging.log4j.core.Appender
 import org.apache.logging.log4j.core.LoggerContext
 import org.apache.logging.log4j.core.appender.WriterAppender
-import org.junit.jupiter.api.DynamicTest
-import org.junit.jupiter.api.DynamicTest.dynamicTest
 import org.junit.jupiter.api.TestFactory
 import org.junit.jupiter.api.assertThrows
+import pistachiopass.entry.casesOf
 import pistachiopass.model.RequestId
 import pistachiopass.model.RouteName
 import pistachiopass.model.TableVersion
@@ -37,28 +36,18 @@
                 field("last", true),
             )
         }
-        val expected = mapOf(
-            "level" to JsonPrimitive("WARN"),
-            "event" to JsonPrimitive("request-failed"),
-            "number" to JsonPrimitive(3011),
-            "requestId" to JsonPrimitive("r-1"),
-            "route" to JsonPrimitive("drape"),
-            "version" to JsonPrimitive(7),
-            "verdict" to JsonPrimitive("not run"),
-            "last" to JsonPrimitive(true),
-        )
-        assertEquals(JsonObject(expected), JsonObject(Json.parseToJsonElement(line).jsonObject - "time"))
+        val expected = """{"level":"WARN","event":"request-failed","last":true,"number":3011,"requestId":"r-1",""" +
+            """"route":"drape","verdict":"not run","version":7}"""
+        assertEquals(Json.parseToJsonElement(expected), JsonObject(Json.parseToJsonElement(line).jsonObject - "time"))
     }
 
     @TestFactory
-    fun `text that may be a prompt or a key is hidden`(): List<DynamicTest> =
-        secretFields.map { field ->
-            dynamicTest(field.name) {
-                val line = captured("events", EVENT_LOGGER) {
-                    EventLog.log(Event.REQUEST_FINISHED, RequestId(PROMPT), field)
-                }
-                assertFalse(PROMPT in line || KEY in line, line)
+    fun `text that may be a prompt or a key is hidden`() =
+        casesOf(secretFields) { field ->
+            val line = captured("events", EVENT_LOGGER) {
+                EventLog.log(Event.REQUEST_FINISHED, RequestId(PROMPT), field)
             }
+            assertFalse(PROMPT in line || KEY in line, line)
         }
 
     @Test
--- a/entry/src/test/kotlin/pistachiopass/entry/metrics/MetricsTest.kt
+++ b/entry/src/test/kotlin/pistachiopass/entry/metrics/MetricsTest.kt
@@ -1,9 +1,8 @@
 /** Holds the catalogue of metrics against docs/METRICS.md and against a scrape. */
 package pistachiopass.entry.metrics
 
-import org.junit.jupiter.api.DynamicTest
-import org.junit.jupiter.api.DynamicTest.dynamicTest
 import org.junit.jupiter.api.TestFactory
+import pistachiopass.entry.casesOf
 import pistachiopass.entry.tableRows
 import pistachiopass.model.RouteName
 import pistachiopass.model.Verdict
@@ -42,8 +41,8 @@
     }
 
     @TestFactory
-    fun `a scrape holds what was recorded`(): List<DynamicTest> =
-        recordedLines.map { dynamicTest(it) { assertTrue(it in metrics.scrape().lines(), metrics.scrape()) } }
+    fun `a scrape holds what was recorded`() =
+        casesOf(recordedLines) { assertTrue(it in metrics.scrape().lines(), metrics.scrape()) }
 
     private companion object {
         val recordedLines = listOf(
--- a/entry/src/test/kotlin/pistachiopass/entry/settings/SettingsReaderTest.kt
+++ b/entry/src/test/kotlin/pistachiopass/entry/settings/SettingsReaderTest.kt
@@ -3,9 +3,8 @@
 
 import com.github.michaelbull.result.get
 import com.github.michaelbull.result.getError
-import org.junit.jupiter.api.DynamicTest
-import org.junit.jupiter.api.DynamicTest.dynamicTest
 import org.junit.jupiter.api.TestFactory
+import pistachiopass.entry.casesOf
 import pistachiopass.entry.workspaceText
 import java.util.Base64
 import kotlin.test.Test
@@ -14,14 +13,12 @@
 
 class SettingsReaderTest {
     @TestFactory
-    fun `each problem is reported with place, value and expectation`(): List<DynamicTest> =
-        refusals.map { (change, expected) ->
-            dynamicTest("${change.first} -> ${change.second}") {
-                check(change.first in VALID) { "the case changes nothing" }
-                val errors = readSettings(VALID.replace(change.first, change.second), "s.json").getError().orEmpty()
-                assertEquals(expected, formatSettingsErrors(errors))
-                assertFalse(KEY in errors.toString())
-            }
+    fun `each problem is reported with place, value and expectation`() =
+        casesOf(refusals) { (change, expected) ->
+            check(change.first in VALID) { "the case changes nothing" }
+            val errors = readSettings(VALID.replace(change.first, change.second), "s.json").getError().orEmpty()
+            assertEquals(expected.lines().joinToString("\n") { "s.json:$it" }, formatSettingsErrors(errors))
+            assertFalse(KEY in errors.toString())
         }
 
     @Test
@@ -33,12 +30,10 @@
     }
 
     @TestFactory
-    fun `text that is not a JSON object is refused`(): List<DynamicTest> =
-        listOf("", "{", "[]", "\"$KEY\"", "null", "{\"sharedKey\":\"$KEY\"", "{\"sharedKey\":$KEY}").map { text ->
-            dynamicTest("text $text") {
-                val lines = formatSettingsErrors(readSettings(text, "s.json").getError().orEmpty())
-                assertFalse(lines.isEmpty() || KEY in lines, lines)
-            }
+    fun `text that is not a JSON object is refused`() =
+        casesOf(listOf("", "{", "[]", "\"$KEY\"", "null", "{\"sharedKey\":\"$KEY\"", "{\"sharedKey\":$KEY}")) {
+            val lines = formatSettingsErrors(readSettings(it, "s.json").getError().orEmpty())
+            assertFalse(lines.isEmpty() || KEY in lines, lines)
         }
 
     @Test
@@ -64,6 +59,8 @@
     private companion object {
         val KEY: String = Base64.getEncoder().encodeToString(ByteArray(32) { it.toByte() })
 
+        const val NAME: String = "a name of 1 to 64 letters, digits, '.', '_' and '-'"
+        const val KEY_TEXT: String = "base64 of at least 32 bytes"
         const val TLS_IN_PART: String = "\"tls\": {\"keyStoreFile\": \"a\", \"trustStoreFile\": \" \"}"
 
         val VALID: String =
@@ -82,43 +79,35 @@
 
         val refusals: List<Pair<Pair<String, String>, String>> =
             listOf(
-                ("\"i1\"" to "\"\"") to
-                    "s.json:2:15: instance is \"\"; expected a name of 1 to 64 letters, digits, '.', '_' and '-'",
-                ("\"i1\"" to "7") to
-                    "s.json:2:15: instance is 7; expected a name of 1 to 64 letters, digits, '.', '_' and '-'",
+                ("\"i1\"" to "\"\"") to "2:15: instance is \"\"; expected $NAME",
+                ("\"i1\"" to "7") to "2:15: instance is 7; expected $NAME",
                 ("127.0.0.1:7002" to "127.0.0.1:0") to
-                    "s.json:7:22: platformAddress is \"127.0.0.1:0\"; expected host:port with a port from 1 to 65535",
+                    "7:22: platformAddress is \"127.0.0.1:0\"; expected host:port with a port from 1 to 65535",
                 ("[::1]:7001" to "[::1]:70010") to
-                    "s.json:6:19: adminAddress is \"[::1]:70010\"; expected host:port with a port from 0 to 65535",
+                    "6:19: adminAddress is \"[::1]:70010\"; expected host:port with a port from 0 to 65535",
                 ("[::1]:7001" to "127.0.0.1:7000") to
-                    "s.json:6:19: adminAddress is \"127.0.0.1:7000\"; " +
+                    "6:19: adminAddress is \"127.0.0.1:7000\"; " +
                     "expected an address other than peerAddress, which is \"127.0.0.1:7000\"",
-                ("\"$KEY\"" to "\"${KEY.drop(4)}\"") to
-                    "s.json:8:16: sharedKey is (hidden); expected base64 of at least 32 bytes",
-                ("\"$KEY\"" to "[\"$KEY\"]") to
-                    "s.json:8:16: sharedKey is (hidden); expected base64 of at least 32 bytes",
-                ("\"cleveland\"" to "\"$KEY\"") to
-                    "s.json:3:17: dataCentre is (hidden); expected a name of 1 to 64 letters, digits, '.', '_' and '-'",
+                ("\"$KEY\"" to "\"${KEY.drop(4)}\"") to "8:16: sharedKey is (hidden); expected $KEY_TEXT",
+                ("\"$KEY\"" to "[\"$KEY\"]") to "8:16: sharedKey is (hidden); expected $KEY_TEXT",
+                ("\"cleveland\"" to "\"$KEY\"") to "3:17: dataCentre is (hidden); expected $NAME",
                 ("\"heldBytes\"" to "\"heldbytes\"") to
-                    "s.json:9:27: limits.heldbytes is unknown; expected one of " +
+                    "9:27: limits.heldbytes is unknown; expected one of " +
                     "bodyBytes, heldBytes, streamBufferBytes, stallMillis, readIdleMillis, stopMillis",
                 ("99000000" to "\"99000000\"") to
-                    "s.json:9:27: limits.heldBytes is \"99000000\"; expected an integer from 1024 to 68719476736 bytes",
+                    "9:27: limits.heldBytes is \"99000000\"; expected an integer from 1024 to 68719476736 bytes",
                 ("99000000" to "1e99") to
-                    "s.json:9:27: limits.heldBytes is 1e99; expected an integer from 1024 to 68719476736 bytes",
+                    "9:27: limits.heldBytes is 1e99; expected an integer from 1024 to 68719476736 bytes",
                 ("99000000" to "1048576") to
-                    "s.json:9:27: limits.heldBytes is 1048576; " +
-                    "expected at least limits.bodyBytes, which is 16777216",
+                    "9:27: limits.heldBytes is 1048576; expected at least limits.bodyBytes, which is 16777216",
                 ("\"heldBytes\": 99000000" to "\"stopMillis\": 200, \"stopMillis\": 300") to
-                    "s.json:9:47: limits.stopMillis is given more than once; expected each field once",
-                ("{\"heldBytes\": 99000000}" to "true") to
-                    "s.json:9:13: limits is a number or word; expected an object",
+                    "9:47: limits.stopMillis is given more than once; expected each field once",
+                ("{\"heldBytes\": 99000000}" to "true") to "9:13: limits is a number or word; expected an object",
                 ("\"limits\": {\"heldBytes\": 99000000}" to TLS_IN_PART) to
-                    "s.json:9:10: tls.keyStorePasswordFile is missing; expected the name of a file\n" +
-                    "s.json:9:10: tls.trustStorePasswordFile is missing; expected the name of a file\n" +
-                    "s.json:9:50: tls.trustStoreFile is \" \"; expected the name of a file",
-                ("\"i1\"," to "\"i1\"") to
-                    "s.json:3:4: the file is not JSON; expected well-formed JSON",
+                    "9:10: tls.keyStorePasswordFile is missing; expected the name of a file\n" +
+                    "9:10: tls.trustStorePasswordFile is missing; expected the name of a file\n" +
+                    "9:50: tls.trustStoreFile is \" \"; expected the name of a file",
+                ("\"i1\"," to "\"i1\"") to "3:4: the file is not JSON; expected well-formed JSON",
             )
     }
 }
