Define the transport between instances without naming a wire

Membership, tables, capacity and bookings need to send messages to peers, and their decision code must run against fakes. The messages are an envelope of type name and CBOR payload: a sealed hierarchy was ruled out, since one module would have to name all message classes, and a SerializersModule needs a registration that can be forgotten on one side only. Each package declares PeerMessageType values and registers handlers for them.

--- /dev/null
+++ b/coordination/src/main/kotlin/pistachiopass/peer/Lives.kt
@@ -0,0 +1,55 @@
+/**
+ * The lives of instances: start ids that can be ordered, and the newest life seen of each instance.
+ *
+ * The start id of an instance is the wall-clock time of its start followed by random digits. The time serves only to
+ * choose the newer of two lives of one instance; ids of different instances are never compared.
+ */
+package pistachiopass.peer
+
+import pistachiopass.model.InstanceId
+import pistachiopass.model.StartId
+import kotlin.random.Random
+
+/** Returns the start id of a process that starts at [wallClockMillis]. */
+public fun startIdOf(wallClockMillis: Long, random: Random): StartId {
+    require(wallClockMillis >= 0) { "wallClockMillis is negative: $wallClockMillis" }
+    return StartId("${hexOf(wallClockMillis)}-${hexOf(random.nextLong())}")
+}
+
+/** Returns whether this start id has the form that [startIdOf] gives; others cannot be ordered. */
+public fun StartId.isOrdered(): Boolean = ORDERED_START_ID.matches(value)
+
+/** Returns whether this life of an instance began after the life [other] of the same instance. */
+public fun StartId.isNewerThan(other: StartId): Boolean = value > other.value
+
+/**
+ * Remembers the newest life seen of each instance; safe for use by many threads.
+ *
+ * Holds at most [capacity] instances and forgets the one that was not seen for longest.
+ */
+public class LifeRegistry(private val capacity: Int = DEFAULT_LIFE_CAPACITY) {
+    private val newest: LinkedHashMap<InstanceId, StartId> = LinkedHashMap()
+
+    /** Returns whether [startId] is the newest life seen of [instance], and remembers it if so. */
+    @Synchronized
+    public fun admit(instance: InstanceId, startId: StartId): Boolean {
+        val known = newest.remove(instance)
+        val admitted = known == null || !known.isNewerThan(startId)
+        newest[instance] = if (admitted) startId else known
+        if (newest.size > capacity) newest.remove(newest.keys.first())
+        return admitted
+    }
+
+    /** Returns the newest life seen of [instance], or null when none was seen. */
+    @Synchronized
+    public fun newestOrNull(instance: InstanceId): StartId? = newest[instance]
+}
+
+/** Number of instances whose newest life is remembered, unless stated otherwise. */
+public const val DEFAULT_LIFE_CAPACITY: Int = 8192
+
+private const val HEX_RADIX: Int = 16
+private const val HEX_DIGITS: Int = 16
+private val ORDERED_START_ID: Regex = Regex("[0-9a-f]{16}-[0-9a-f]{16}")
+
+private fun hexOf(value: Long): String = value.toULong().toString(HEX_RADIX).padStart(HEX_DIGITS, '0')
--- /dev/null
+++ b/coordination/src/main/kotlin/pistachiopass/peer/PeerMessage.kt
@@ -0,0 +1,64 @@
+/**
+ * Messages between instances: an envelope of a type name and a CBOR payload.
+ *
+ * Each package declares a [PeerMessageType] for each of its message classes and registers a handler for it with the
+ * [PeerTransport]; the transport itself knows none of the classes. A payload that cannot be decoded is reported as
+ * null, since a peer of another version may have sent it.
+ */
+package pistachiopass.peer
+
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.KSerializer
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.cbor.Cbor
+import kotlinx.serialization.serializer
+import pistachiopass.model.DataCentreId
+import pistachiopass.model.InstanceId
+import pistachiopass.model.StartId
+
+/** Holds one message as it travels: the name of its type and its payload in CBOR. */
+public class PeerMessage(public val typeName: String, public val payload: ByteArray) {
+    override fun toString(): String = "$typeName(${payload.size} bytes)"
+}
+
+/** Names a type of message and tells how its payload is written; [name] is unique over all packages. */
+public class PeerMessageType<T>(public val name: String, private val serializer: KSerializer<T>) {
+    /** Returns [value] in its envelope. */
+    @OptIn(ExperimentalSerializationApi::class)
+    public fun encode(value: T): PeerMessage = PeerMessage(name, PeerCbor.encodeToByteArray(serializer, value))
+
+    /** Returns the value that [message] holds, or null when it is of another type or malformed. */
+    @OptIn(ExperimentalSerializationApi::class)
+    public fun decodeOrNull(message: PeerMessage): T? {
+        if (message.typeName != name) return null
+        return try {
+            PeerCbor.decodeFromByteArray(serializer, message.payload)
+        } catch (_: SerializationException) {
+            null
+        } catch (_: IllegalArgumentException) {
+            null
+        } catch (_: IllegalStateException) {
+            null
+        } catch (_: IndexOutOfBoundsException) {
+            null
+        }
+    }
+
+    override fun toString(): String = name
+}
+
+/** Returns the message type of the serializable class [T]. */
+public inline fun <reified T> peerMessageTypeOf(name: String): PeerMessageType<T> = PeerMessageType(name, serializer())
+
+/** Identifies the sender of a message: the instance, its data centre and the life that sent it. */
+public data class PeerIdentity(val instance: InstanceId, val dataCentre: DataCentreId, val startId: StartId)
+
+/** Holds a message together with the proven identity of its sender. */
+public class ReceivedMessage(public val sender: PeerIdentity, public val message: PeerMessage)
+
+/** The CBOR format of payloads and frames; unknown fields are skipped, so that versions can differ by one. */
+@OptIn(ExperimentalSerializationApi::class)
+public val PeerCbor: Cbor = Cbor {
+    ignoreUnknownKeys = true
+    alwaysUseByteString = true
+}
