Add the socket transport between instances, with TLS

Cause: instances need authenticated calls to each other whose failures say truthfully whether the call may have run. Ruled out: Ktor's TLS, which has no accepting side; a blocked reader as backpressure on the accepting side, since it would also stop keep-alive frames, so that too many handlers are refused as not run instead.

--- /dev/null
+++ b/entry/src/main/kotlin/pistachiopass/entry/peer/FrameSeals.kt
@@ -0,0 +1,55 @@
+/**
+ * Authentication of frames: HMAC-SHA256 under a key of the session and direction, over sequence number and body.
+ *
+ * A frame that was changed, left out, repeated, reordered or taken from another session fails the check.
+ */
+package pistachiopass.entry.peer
+
+import java.nio.ByteBuffer
+import java.security.MessageDigest
+import javax.crypto.Mac
+import javax.crypto.spec.SecretKeySpec
+
+/** Returns the HMAC-SHA256 of [parts], one after the other, under [key]. */
+internal fun hmacOf(key: ByteArray, vararg parts: ByteArray): ByteArray {
+    val mac = Mac.getInstance(MAC_ALGORITHM)
+    mac.init(SecretKeySpec(key, MAC_ALGORITHM))
+    parts.forEach(mac::update)
+    return mac.doFinal()
+}
+
+/** Returns [body] with its length in front. */
+internal fun framed(body: ByteArray): ByteArray =
+    ByteBuffer.allocate(LENGTH_BYTES + body.size).putInt(body.size).put(body).array()
+
+/** Seals the frames of one direction; for one writer. */
+internal class FrameSealer(private val key: ByteArray) {
+    private var sequence: Long = 0
+
+    /** Returns the bytes to write for [body]: length, body and code. */
+    fun seal(body: ByteArray): ByteArray = framed(body + hmacOf(key, sequenceBytes(sequence++), body))
+}
+
+/** Checks the frames of one direction; for one reader. */
+internal class FrameOpener(private val key: ByteArray) {
+    private var sequence: Long = 0
+
+    /** Returns the body of [sealed], or null when it is not the next frame that the peer sealed. */
+    fun openOrNull(sealed: ByteArray): ByteArray? {
+        if (sealed.size < MAC_BYTES) return null
+        val body = sealed.copyOf(sealed.size - MAC_BYTES)
+        val code = sealed.copyOfRange(body.size, sealed.size)
+        val expected = hmacOf(key, sequenceBytes(sequence++), body)
+        return body.takeIf { MessageDigest.isEqual(expected, code) }
+    }
+}
+
+/** Length of the code at the end of a sealed frame. */
+internal const val MAC_BYTES: Int = 32
+
+/** Length of the length prefix. */
+internal const val LENGTH_BYTES: Int = Int.SIZE_BYTES
+
+private const val MAC_ALGORITHM: String = "HmacSHA256"
+
+private fun sequenceBytes(sequence: Long): ByteArray = ByteBuffer.allocate(Long.SIZE_BYTES).putLong(sequence).array()
--- /dev/null
+++ b/entry/src/main/kotlin/pistachiopass/entry/peer/Handshake.kt
@@ -0,0 +1,211 @@
+/**
+ * The handshake: both sides prove the shared key over fresh nonces and learn each other's identity.
+ *
+ * The connecting side sends its hello, the accepting side its hello with a proof, the connecting side its proof, and
+ * the accepting side the first sealed frame. Proofs and session keys cover both hellos whole, so that nothing in them
+ * can be changed, and a recorded handshake is of no use against a fresh nonce.
+ */
+package pistachiopass.entry.peer
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.flatMap
+import com.github.michaelbull.result.map
+import com.github.michaelbull.result.mapError
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.Serializable
+import pistachiopass.model.DataCentreId
+import pistachiopass.model.InstanceId
+import pistachiopass.model.StartId
+import pistachiopass.peer.LifeRegistry
+import pistachiopass.peer.PeerCbor
+import pistachiopass.peer.PeerIdentity
+import pistachiopass.peer.isOrdered
+import java.security.MessageDigest
+import java.security.SecureRandom
+
+/** Tells why a handshake failed. */
+internal enum class HandshakeError {
+    /** The connection ended or broke. */
+    LOST,
+
+    /** A message is too long or not understood. */
+    MALFORMED,
+
+    /** The peer speaks another version of the protocol. */
+    OTHER_VERSION,
+
+    /** The peer does not know the shared key, or a message was changed. */
+    NOT_PROVEN,
+
+    /** Another instance answers at the address. */
+    OTHER_INSTANCE,
+
+    /** One side is known in a newer life. */
+    EARLIER_LIFE,
+}
+
+/** Holds what a handshake yields: the proven peer and the seals of both directions. */
+internal class SecureChannel(
+    val connection: ByteConnection,
+    val peer: PeerIdentity,
+    val sealer: FrameSealer,
+    val opener: FrameOpener,
+)
+
+/** Performs handshakes in the name of [self]. */
+internal class Handshake(
+    private val self: PeerIdentity,
+    private val sharedKey: ByteArray,
+    private val lives: LifeRegistry,
+) {
+    private val secureRandom: SecureRandom = SecureRandom()
+
+    init {
+        require(sharedKey.size >= MIN_KEY_BYTES) { "the shared key has ${sharedKey.size} bytes, needs $MIN_KEY_BYTES" }
+    }
+
+    /** Proves this side to the instance [expected] on a connection that this side opened. */
+    suspend fun connect(connection: ByteConnection, expected: InstanceId): Result<SecureChannel, HandshakeError> {
+        val reader = FrameReader(connection)
+        val ownHello = hello()
+        connection.write(framed(ownHello))
+        return reader.handshakeFrame()
+            .flatMap { answer -> checkAnswer(connection, ownHello, answer) }
+            .flatMap { (channel, proof) ->
+                when {
+                    channel.peer.instance != expected -> Err(HandshakeError.OTHER_INSTANCE)
+                    !lives.admit(channel.peer.instance, channel.peer.startId) -> Err(HandshakeError.EARLIER_LIFE)
+                    else -> finish(channel, proof, reader)
+                }
+            }
+    }
+
+    /** Proves the peer on a connection that it opened. */
+    suspend fun accept(connection: ByteConnection): Result<SecureChannel, HandshakeError> {
+        val reader = FrameReader(connection)
+        return reader.handshakeFrame()
+            .flatMap { hello -> parseHello(hello) }
+            .flatMap { (peer, peerHello) ->
+                val ownHello = hello()
+                val transcript = transcriptOf(peerHello, ownHello)
+                connection.write(framed(ownHello + hmacOf(sharedKey, ACCEPTING_PROOF, transcript)))
+                reader.handshakeFrame().flatMap { proof ->
+                    val expected = hmacOf(sharedKey, CONNECTING_PROOF, transcript)
+                    if (MessageDigest.isEqual(expected, proof)) {
+                        Ok(channelOf(connection, peer, transcript, isConnecting = false))
+                    } else {
+                        Err(HandshakeError.NOT_PROVEN)
+                    }
+                }
+            }
+            .flatMap { channel -> admit(channel) }
+    }
+
+    private suspend fun admit(channel: SecureChannel): Result<SecureChannel, HandshakeError> {
+        val isNewest = lives.admit(channel.peer.instance, channel.peer.startId)
+        val answer = if (isNewest) Frame.Welcome else Frame.EarlierLife
+        channel.connection.write(channel.sealer.seal(encodeFrame(answer)))
+        return if (isNewest) Ok(channel) else Err(HandshakeError.EARLIER_LIFE)
+    }
+
+    private fun checkAnswer(
+        connection: ByteConnection,
+        ownHello: ByteArray,
+        answer: ByteArray,
+    ): Result<Pair<SecureChannel, ByteArray>, HandshakeError> {
+        if (answer.size < MAC_BYTES) return Err(HandshakeError.MALFORMED)
+        val peerHello = answer.copyOf(answer.size - MAC_BYTES)
+        val transcript = transcriptOf(ownHello, peerHello)
+        val expected = hmacOf(sharedKey, ACCEPTING_PROOF, transcript)
+        val isProven = MessageDigest.isEqual(expected, answer.copyOfRange(peerHello.size, answer.size))
+        val hello = if (isProven) parseHello(peerHello) else Err(HandshakeError.NOT_PROVEN)
+        return hello.map { (peer, _) ->
+            val proof = hmacOf(sharedKey, CONNECTING_PROOF, transcript)
+            channelOf(connection, peer, transcript, isConnecting = true) to proof
+        }
+    }
+
+    private suspend fun finish(
+        channel: SecureChannel,
+        proof: ByteArray,
+        reader: FrameReader,
+    ): Result<SecureChannel, HandshakeError> {
+        channel.connection.write(framed(proof))
+        return reader.handshakeFrame().flatMap { sealed ->
+            when (channel.opener.openOrNull(sealed)?.let(::decodeFrameOrNull)) {
+                Frame.Welcome -> Ok(channel)
+                Frame.EarlierLife -> Err(HandshakeError.EARLIER_LIFE)
+                else -> Err(HandshakeError.NOT_PROVEN)
+            }
+        }
+    }
+
+    private fun channelOf(
+        connection: ByteConnection,
+        peer: PeerIdentity,
+        transcript: ByteArray,
+        isConnecting: Boolean,
+    ): SecureChannel {
+        val connectingKey = hmacOf(sharedKey, CONNECTING_KEY, transcript)
+        val acceptingKey = hmacOf(sharedKey, ACCEPTING_KEY, transcript)
+        val (own, peers) = if (isConnecting) connectingKey to acceptingKey else acceptingKey to connectingKey
+        return SecureChannel(connection, peer, FrameSealer(own), FrameOpener(peers))
+    }
+
+    @OptIn(ExperimentalSerializationApi::class)
+    private fun hello(): ByteArray {
+        val nonce = ByteArray(NONCE_BYTES).also(secureRandom::nextBytes)
+        val hello = Hello(PROTOCOL_VERSION, self.instance, self.dataCentre, self.startId, nonce)
+        return PeerCbor.encodeToByteArray(Hello.serializer(), hello)
+    }
+
+    private fun parseHello(bytes: ByteArray): Result<Pair<PeerIdentity, ByteArray>, HandshakeError> {
+        val hello = decodeCborOrNull(Hello.serializer(), bytes)
+        return when {
+            hello == null || hello.nonce.size != NONCE_BYTES -> Err(HandshakeError.MALFORMED)
+            hello.version != PROTOCOL_VERSION -> Err(HandshakeError.OTHER_VERSION)
+            !hello.startId.isOrdered() -> Err(HandshakeError.MALFORMED)
+            else -> Ok(PeerIdentity(hello.instance, hello.dataCentre, hello.startId) to bytes)
+        }
+    }
+}
+
+/** Introduces one side. */
+@Serializable
+private class Hello(
+    val version: Int,
+    val instance: InstanceId,
+    val dataCentre: DataCentreId,
+    val startId: StartId,
+    val nonce: ByteArray,
+)
+
+private suspend fun FrameReader.handshakeFrame(): Result<ByteArray, HandshakeError> =
+    read(HANDSHAKE_FRAME_BYTES).mapError { error ->
+        if (error == FrameError.ENDED) HandshakeError.LOST else HandshakeError.MALFORMED
+    }
+
+/** Returns a digest of both hellos, each with its length in front. */
+private fun transcriptOf(connectingHello: ByteArray, acceptingHello: ByteArray): ByteArray {
+    val digest = MessageDigest.getInstance("SHA-256")
+    digest.update(framed(connectingHello))
+    digest.update(framed(acceptingHello))
+    return digest.digest()
+}
+
+/** Version of frames and handshake; both sides must speak the same. */
+internal const val PROTOCOL_VERSION: Int = 1
+
+/** Shortest key that instances may share. */
+internal const val MIN_KEY_BYTES: Int = 32
+
+/** Longest frame before the peer is proven. */
+internal const val HANDSHAKE_FRAME_BYTES: Int = 1024
+
+private const val NONCE_BYTES: Int = 32
+private val CONNECTING_PROOF: ByteArray = "pistachiopass connecting proof".toByteArray()
+private val ACCEPTING_PROOF: ByteArray = "pistachiopass accepting proof".toByteArray()
+private val CONNECTING_KEY: ByteArray = "pistachiopass connecting key".toByteArray()
+private val ACCEPTING_KEY: ByteArray = "pistachiopass accepting key".toByteArray()
--- /dev/null
+++ b/entry/src/main/kotlin/pistachiopass/entry/peer/PeerClientSession.kt
@@ -0,0 +1,143 @@
+/** The calling side of a connection: calls in flight by call id, and one-way messages. */
+package pistachiopass.entry.peer
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.withTimeoutOrNull
+import pistachiopass.model.StartId
+import pistachiopass.model.Verdict
+import pistachiopass.peer.LifeRegistry
+import pistachiopass.peer.PeerFailure
+import pistachiopass.peer.PeerFailureCode
+import pistachiopass.peer.PeerMessage
+import pistachiopass.peer.SendOutcome
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicLong
+
+/** Sends calls over [session] and matches the responses. */
+internal class PeerClientSession(
+    private val session: PeerSession,
+    private val limits: PeerLimits,
+    private val events: PeerEvents,
+    private val lives: LifeRegistry,
+) {
+    private class PendingCall(val outbound: OutboundFrame) {
+        val result: CompletableDeferred<Result<PeerMessage, PeerFailure>> = CompletableDeferred()
+
+        fun fail(code: PeerFailureCode, message: String) {
+            val verdict = if (outbound.withdraw()) Verdict.NOT_RUN else Verdict.MAY_HAVE_RUN
+            result.complete(Err(PeerFailure(code, verdict, message)))
+        }
+    }
+
+    private val pending: ConcurrentHashMap<Long, PendingCall> = ConcurrentHashMap()
+    private val nextCallId: AtomicLong = AtomicLong()
+
+    /** Whether calls can still be sent: the connection is open and the peer not known in a newer life. */
+    val isOpen: Boolean get() = session.isOpen && isNewestLife
+
+    private val isNewestLife: Boolean
+        get() = lives.newestOrNull(session.peer.instance).let { it == null || it == session.peer.startId }
+
+    /** The life of the peer at the other end. */
+    val peerStartId: StartId get() = session.peer.startId
+
+    /** Sends [message] and waits for the response, [timeoutMillis] at most. */
+    suspend fun call(
+        message: PeerMessage,
+        timeoutMillis: Long,
+        startId: StartId?,
+    ): Result<PeerMessage, PeerFailure> {
+        val callId = nextCallId.incrementAndGet()
+        val frame = Frame.Call(callId, message.typeName, message.payload, startId)
+        val call = PendingCall(OutboundFrame(encodeFrame(frame)))
+        refusalOf(call.outbound, startId)?.let { return Err(it) }
+        pending[callId] = call
+        try {
+            if (!session.offer(call.outbound)) {
+                val code = if (isOpen) PeerFailureCode.QUEUE_FULL else PeerFailureCode.CONNECTION_LOST
+                call.fail(code, "$message to ${session.peer.instance} was not queued")
+            }
+            return withTimeoutOrNull(timeoutMillis) { call.result.await() } ?: run {
+                call.fail(PeerFailureCode.TIMEOUT, "no response from ${session.peer.instance} in $timeoutMillis ms")
+                call.result.await()
+            }
+        } finally {
+            pending.remove(callId)
+            call.outbound.withdraw()
+        }
+    }
+
+    /** Queues [message] one way. */
+    fun send(message: PeerMessage, startId: StartId?): SendOutcome {
+        val body = encodeFrame(Frame.Notice(message.typeName, message.payload, startId))
+        return when {
+            startId != null && startId != peerStartId -> SendOutcome.OTHER_LIFE
+            body.size > limits.frameBytes -> SendOutcome.TOO_LARGE
+            session.offer(OutboundFrame(body)) -> SendOutcome.QUEUED
+            isOpen -> SendOutcome.QUEUE_FULL
+            else -> SendOutcome.UNREACHABLE
+        }
+    }
+
+    /** Runs until the connection ends; then all calls in flight fail. */
+    suspend fun run(): FrameError {
+        try {
+            return session.run(::onFrame)
+        } finally {
+            failAll()
+        }
+    }
+
+    /** Ends the connection. */
+    fun close() = session.close(FrameError.ENDED)
+
+    private fun refusalOf(outbound: OutboundFrame, startId: StartId?): PeerFailure? {
+        val (code, message) = when {
+            startId != null && startId != peerStartId ->
+                PeerFailureCode.OTHER_LIFE to "${session.peer.instance} runs $peerStartId, not $startId"
+            outbound.body.size > limits.frameBytes ->
+                PeerFailureCode.TOO_LARGE to "${outbound.body.size} bytes exceed ${limits.frameBytes}"
+            pending.size >= limits.pendingCalls ->
+                PeerFailureCode.QUEUE_FULL to "${pending.size} calls to ${session.peer.instance} are in flight"
+            else -> return null
+        }
+        return PeerFailure(code, Verdict.NOT_RUN, message)
+    }
+
+    private fun onFrame(frame: Frame) {
+        when {
+            frame is Frame.KeepAlive -> Unit
+            isNewestLife -> onAnswer(frame)
+            else -> {
+                events.count(PeerEvent.DROPPED_EARLIER_LIFE)
+                close()
+            }
+        }
+    }
+
+    private fun onAnswer(frame: Frame) {
+        when (frame) {
+            is Frame.Response -> complete(frame.callId, Ok(PeerMessage(frame.typeName, frame.payload)))
+            is Frame.Refusal -> {
+                val verdict = if (frame.handled) Verdict.MAY_HAVE_RUN else Verdict.NOT_RUN
+                val message = "refused by ${session.peer.instance}"
+                complete(frame.callId, Err(PeerFailure(frame.code, verdict, message)))
+            }
+            else -> events.count(PeerEvent.DROPPED_UNEXPECTED)
+        }
+    }
+
+    private fun complete(callId: Long, result: Result<PeerMessage, PeerFailure>) {
+        val isInTime = pending[callId]?.result?.complete(result) ?: false
+        if (!isInTime) events.count(PeerEvent.DROPPED_LATE_RESPONSE)
+    }
+
+    private fun failAll() {
+        for (call in pending.values) {
+            call.fail(PeerFailureCode.CONNECTION_LOST, "connection to ${session.peer.instance} ended")
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/pistachiopass/entry/peer/PeerConnector.kt
@@ -0,0 +1,68 @@
+/** Opens authenticated connections to peers at their published addresses. */
+package pistachiopass.entry.peer
+
+import com.github.michaelbull.result.get
+import com.github.michaelbull.result.onFailure
+import kotlinx.coroutines.withTimeoutOrNull
+import pistachiopass.model.InstanceId
+import java.io.IOException
+import java.nio.channels.UnresolvedAddressException
+
+/** Finds the addresses of peers, as a rule in the published instance list. */
+public fun interface PeerAddresses {
+    /** Returns the host and port of [peer], `127.0.0.1:7001`, or null when it is not known. */
+    public fun addressOrNull(peer: InstanceId): String?
+}
+
+/** Connects to peers over [connections], each attempt within the connect timeout. */
+internal class PeerConnector(
+    private val connections: ByteConnections,
+    private val handshake: Handshake,
+    private val addresses: PeerAddresses,
+    private val limits: PeerLimits,
+    private val events: PeerEvents,
+) {
+    /** Returns a proven connection to [peer], or null after the cause was logged. */
+    suspend fun openOrNull(peer: InstanceId): SecureChannel? {
+        var opened: SecureChannel? = null
+        val attempt = withTimeoutOrNull(limits.connectTimeoutMillis) { opened = connectOrNull(peer) }
+        if (attempt == null && opened == null) logFailure(peer, "timeout")
+        return opened
+    }
+
+    private suspend fun connectOrNull(peer: InstanceId): SecureChannel? {
+        val address = addresses.addressOrNull(peer)?.let(::hostAndPortOrNull)
+        return try {
+            if (address == null) throw IOException("no address")
+            proveOrNull(connections.connect(address.first, address.second), peer)
+        } catch (e: IOException) {
+            logFailure(peer, e)
+            null
+        } catch (e: UnresolvedAddressException) {
+            logFailure(peer, e)
+            null
+        }
+    }
+
+    private suspend fun proveOrNull(connection: ByteConnection, peer: InstanceId): SecureChannel? {
+        var channel: SecureChannel? = null
+        try {
+            channel = handshake.connect(connection, peer).onFailure { logFailure(peer, it) }.get()
+        } finally {
+            if (channel == null) connection.close()
+        }
+        return channel
+    }
+
+    private fun logFailure(peer: InstanceId, cause: Any) {
+        events.log(PeerEvent.CONNECT_FAILED, "peer=$peer cause=$cause")
+    }
+}
+
+private fun hostAndPortOrNull(address: String): Pair<String, Int>? {
+    val host = address.substringBeforeLast(':').removeSurrounding("[", "]")
+    val port = address.substringAfterLast(':').toIntOrNull()
+    return port?.takeIf { it in 1..MAX_PORT }?.let { host to it }
+}
+
+private const val MAX_PORT: Int = 65_535
--- /dev/null
+++ b/entry/src/main/kotlin/pistachiopass/entry/peer/PeerServer.kt
@@ -0,0 +1,72 @@
+/** Accepts connections of peers, authenticates them and runs their sessions. */
+package pistachiopass.entry.peer
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.get
+import com.github.michaelbull.result.onFailure
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.isActive
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.sync.Semaphore
+import kotlinx.coroutines.withTimeoutOrNull
+import pistachiopass.model.InstanceId
+import java.io.IOException
+import java.util.concurrent.ConcurrentHashMap
+import kotlin.time.TimeSource
+
+/** Serves the connections of a [ByteListener]; keeps one session per peer, the newest. */
+internal class PeerServer(
+    private val handshake: Handshake,
+    private val dispatcher: PeerDispatcher,
+    private val limits: PeerLimits,
+    private val clock: TimeSource.WithComparableMarks,
+    private val events: PeerEvents,
+) {
+    private val handshakes: Semaphore = Semaphore(limits.handshakes)
+    private val sessions: ConcurrentHashMap<InstanceId, PeerSession> = ConcurrentHashMap()
+
+    /** Accepts connections until the coroutine is cancelled or the listener closed. */
+    suspend fun run(listener: ByteListener, scope: CoroutineScope) {
+        while (currentCoroutineContext().isActive) {
+            val connection = try {
+                listener.accept()
+            } catch (_: IOException) {
+                return
+            }
+            if (handshakes.tryAcquire()) {
+                scope.launch { serve(connection) }
+            } else {
+                events.log(PeerEvent.REFUSED, "cause=too-many-handshakes limit=${limits.handshakes}")
+                connection.close()
+            }
+        }
+    }
+
+    /** Ends all sessions. */
+    fun close() = sessions.values.forEach { it.close(FrameError.ENDED) }
+
+    private suspend fun serve(connection: ByteConnection): Unit = connection.use {
+        val channel = authenticate(connection)
+            .onFailure { error -> events.log(PeerEvent.REFUSED, "cause=$error") }
+            .get() ?: return
+        val session = PeerSession(channel, limits, clock)
+        sessions.put(channel.peer.instance, session)?.close(FrameError.ENDED)
+        events.log(PeerEvent.ACCEPTED, "peer=${channel.peer.instance} start=${channel.peer.startId}")
+        try {
+            val cause = session.run { frame -> dispatcher.onFrame(session, frame) }
+            events.log(PeerEvent.DISCONNECTED, "peer=${channel.peer.instance} side=accepting cause=$cause")
+        } finally {
+            sessions.remove(channel.peer.instance, session)
+        }
+    }
+
+    private suspend fun authenticate(connection: ByteConnection): Result<SecureChannel, HandshakeError> = try {
+        withTimeoutOrNull(limits.handshakeTimeoutMillis) { handshake.accept(connection) } ?: Err(HandshakeError.LOST)
+    } catch (_: IOException) {
+        Err(HandshakeError.LOST)
+    } finally {
+        handshakes.release()
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/pistachiopass/entry/peer/SocketPeerTransport.kt
@@ -0,0 +1,131 @@
+/** The transport between instances over TCP or TLS sockets. */
+package pistachiopass.entry.peer
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Result
+import io.micrometer.core.instrument.MeterRegistry
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import pistachiopass.model.InstanceId
+import pistachiopass.model.StartId
+import pistachiopass.model.Verdict
+import pistachiopass.peer.LifeRegistry
+import pistachiopass.peer.PeerFailure
+import pistachiopass.peer.PeerFailureCode
+import pistachiopass.peer.PeerHandler
+import pistachiopass.peer.PeerIdentity
+import pistachiopass.peer.PeerMessage
+import pistachiopass.peer.PeerTransport
+import pistachiopass.peer.SendOutcome
+import java.io.Closeable
+import java.util.concurrent.ConcurrentHashMap
+import javax.net.ssl.SSLContext
+import kotlin.random.Random
+import kotlin.time.TimeSource
+
+/** Describes a transport: who this process is, the key that all instances share, and where peers are. */
+public class PeerConfig(
+    public val self: PeerIdentity,
+    /** At least 32 bytes. */
+    public val sharedKey: ByteArray,
+    public val addresses: PeerAddresses,
+    public val limits: PeerLimits = PeerLimits(),
+    /** Keys for TLS with certificates on both sides; plain TCP without. */
+    public val tls: SSLContext? = null,
+    /** Seed of the jitter between attempts to connect. */
+    public val backoffSeed: Long = System.nanoTime(),
+)
+
+/** Returns a transport that connects to peers on demand; call [SocketPeerTransport.listen] to accept them. */
+public fun socketPeerTransportOf(
+    config: PeerConfig,
+    meters: MeterRegistry,
+    clock: TimeSource.WithComparableMarks = TimeSource.Monotonic,
+): SocketPeerTransport = SocketPeerTransport(config, meters, clock)
+
+/** Carries messages over one connection per peer and direction. */
+public class SocketPeerTransport internal constructor(
+    private val config: PeerConfig,
+    meters: MeterRegistry,
+    private val clock: TimeSource.WithComparableMarks,
+) : PeerTransport, Closeable {
+    override val self: PeerIdentity = config.self
+
+    private val limits: PeerLimits = config.limits
+    private val scope: CoroutineScope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+    private val events: PeerEvents = PeerEvents(meters)
+    private val lives: LifeRegistry = LifeRegistry()
+    private val handshake: Handshake = Handshake(self, config.sharedKey, lives)
+    private val connections: ByteConnections = config.tls?.let(::TlsConnections) ?: KtorConnections()
+    private val connector: PeerConnector = PeerConnector(connections, handshake, config.addresses, limits, events)
+    private val dispatcher: PeerDispatcher = PeerDispatcher(self, lives, limits, events, scope)
+    private val server: PeerServer = PeerServer(handshake, dispatcher, limits, clock, events)
+    private val random: Random = Random(config.backoffSeed)
+    private val links: ConcurrentHashMap<InstanceId, PeerLink> = ConcurrentHashMap()
+
+    init {
+        lives.admit(self.instance, self.startId)
+    }
+
+    /** Accepts peers on [host] and returns the port; port 0 takes a free one. */
+    public suspend fun listen(host: String, port: Int): Int {
+        val listener = connections.listen(host, port)
+        scope.launch { listener.use { server.run(it, scope) } }
+        events.log(
+            PeerEvent.STARTED,
+            "instance=${self.instance} start=${self.startId} port=${listener.port} seed=${config.backoffSeed}",
+        )
+        return listener.port
+    }
+
+    override fun register(typeName: String, handler: PeerHandler): Unit = dispatcher.register(typeName, handler)
+
+    override suspend fun send(to: InstanceId, message: PeerMessage, startId: StartId?): SendOutcome {
+        val session = linkTo(to).sessionOrNull() ?: return SendOutcome.UNREACHABLE
+        return session.send(message, startId)
+    }
+
+    override suspend fun call(
+        to: InstanceId,
+        message: PeerMessage,
+        timeoutMillis: Long,
+        startId: StartId?,
+    ): Result<PeerMessage, PeerFailure> {
+        val start = clock.markNow()
+        val session = withTimeoutOrNull(timeoutMillis) { linkTo(to).sessionOrNull() }
+            ?: return Err(PeerFailure(PeerFailureCode.UNREACHABLE, Verdict.NOT_RUN, "no connection to $to"))
+        return session.call(message, timeoutMillis - start.elapsedNow().inWholeMilliseconds, startId)
+    }
+
+    /** Ends the connections to all peers that are not in [published]. */
+    public fun retain(published: Set<InstanceId>) {
+        for (peer in links.keys - published) links.remove(peer)?.close()
+    }
+
+    /** Drops all connections and handlers at once; a planned stop waits for its requests before this. */
+    override fun close() {
+        scope.cancel()
+        links.values.forEach(PeerLink::close)
+        server.close()
+        connections.close()
+    }
+
+    private fun linkTo(peer: InstanceId): PeerLink = links.computeIfAbsent(peer) {
+        PeerLink(scope, Backoff(limits, random, clock)) { openOrNull(peer) }
+    }
+
+    private suspend fun openOrNull(peer: InstanceId): PeerClientSession? {
+        val channel = connector.openOrNull(peer) ?: return null
+        val session = PeerClientSession(PeerSession(channel, limits, clock), limits, events, lives)
+        events.log(PeerEvent.CONNECTED, "peer=$peer start=${channel.peer.startId}")
+        scope.launch {
+            val cause = session.run()
+            events.log(PeerEvent.DISCONNECTED, "peer=$peer side=connecting cause=$cause")
+        }
+        return session
+    }
+}
