Test frames, lives and the transport

Cause: the transport is untested. Change: tables of cases over loopback with a clock that the tests move.

--- /dev/null
+++ b/entry/src/test/kotlin/pistachiopass/entry/peer/FramesTest.kt
@@ -0,0 +1,116 @@
+/** Checks sealing, cutting and decoding of frames, and the queue of frames. */
+package pistachiopass.entry.peer
+
+import com.github.michaelbull.result.get
+import com.github.michaelbull.result.getError
+import kotlinx.coroutines.runBlocking
+import pistachiopass.peer.PeerFailureCode
+import java.nio.ByteBuffer
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertContentEquals
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertNotNull
+import kotlin.test.assertNull
+import kotlin.test.assertTrue
+
+class FramesTest {
+    private val key = ByteArray(MIN_KEY_BYTES) { it.toByte() }
+    private val samples = listOf(
+        Frame.Call(callId = 7, "lease", ByteArray(9)),
+        Frame.Notice("heartbeat", ByteArray(3)),
+        Frame.Response(callId = 7, "granted", ByteArray(0)),
+        Frame.Refusal(callId = 7, PeerFailureCode.OVERLOADED, handled = false),
+        Frame.KeepAlive,
+    ).map(::encodeFrame)
+
+    @Test
+    fun `only the next frame as it was sealed is opened`() {
+        val sealer = FrameSealer(key)
+        val (first, second) = List(2) { sealer.seal(samples[it]).drop(LENGTH_BYTES).toByteArray() }
+        val flipped = List(first.size) { index -> first.copyOf().also { it[index] = (it[index] + 1).toByte() } }
+        val wrong = flipped + listOf(second, first.copyOf(first.size - 1), first + 0, ByteArray(0))
+        for (bytes in wrong) assertNull(FrameOpener(key).openOrNull(bytes))
+        assertNull(FrameOpener(key.reversedArray()).openOrNull(first), "another session")
+        val opener = FrameOpener(key)
+        assertContentEquals(samples[0], opener.openOrNull(first))
+        assertNull(FrameOpener(key).also { it.openOrNull(first) }.openOrNull(first), "repeated")
+        assertContentEquals(samples[1], opener.openOrNull(second))
+    }
+
+    @Test
+    fun `frames are cut at their stated length within the limit`() = runBlocking {
+        val cases = listOf(
+            byteArrayOf(0, 0, 0, 2, 5, 6) to null,
+            byteArrayOf(0, 0, 0, 0) to null,
+            byteArrayOf(0, 0, 0, 9) + ByteArray(9) to FrameError.OVERSIZED,
+            byteArrayOf(-1, -1, -1, -1) to FrameError.OVERSIZED,
+            byteArrayOf(127, -1, -1, -1) to FrameError.OVERSIZED,
+            byteArrayOf(0, 0, 0, 2, 5) to FrameError.ENDED,
+            byteArrayOf(0, 0) to FrameError.ENDED,
+        )
+        for ((bytes, expected) in cases) {
+            assertEquals(expected, FrameReader(BytesOnly(bytes)).read(limitBytes = 8).getError(), bytes.toList().toString())
+        }
+        assertContentEquals(byteArrayOf(5, 6), FrameReader(BytesOnly(cases[0].first)).read(limitBytes = 8).get())
+    }
+
+    @Test
+    fun `random and damaged bytes never break the decoder or the reader`() = runBlocking {
+        val random = Random(SEED)
+        for (sample in samples) assertNotNull(decodeFrameOrNull(sample))
+        repeat(FUZZ_ROUNDS) { round ->
+            val damaged = samples[round % samples.size].copyOf()
+            damaged[random.nextInt(damaged.size)] = random.nextInt().toByte()
+            val noise = random.nextBytes(random.nextInt(MAX_FUZZ_BYTES))
+            for (bytes in listOf(damaged, noise)) {
+                val outcome = runCatching { decodeFrameOrNull(bytes) }
+                assertTrue(outcome.isSuccess, "seed $SEED round $round: ${bytes.toList()} ${outcome.exceptionOrNull()}")
+                assertNull(FrameOpener(key).openOrNull(bytes), "seed $SEED round $round")
+            }
+            val length = ByteBuffer.wrap(noise + ByteArray(LENGTH_BYTES)).getInt()
+            val read = FrameReader(BytesOnly(noise)).read(MAX_FUZZ_BYTES)
+            assertEquals(noise.size >= LENGTH_BYTES && length in 0..noise.size - LENGTH_BYTES, read.isOk, "$SEED/$round")
+        }
+    }
+
+    @Test
+    fun `the queue is bounded in frames and bytes and a frame is either written or withdrawn`() = runBlocking {
+        val limits = PeerLimits(frameBytes = 100, sendQueueBytes = 100, sendQueueFrames = 3)
+        val cases = listOf(listOf(60, 40) to 1, listOf(100) to 1, listOf(1, 1, 1) to 1)
+        for ((sizes, extra) in cases) {
+            val queue = SendQueue(limits)
+            val frames = sizes.map { OutboundFrame(ByteArray(it)) }
+            assertTrue(frames.all(queue::offer))
+            assertFalse(queue.offer(OutboundFrame(ByteArray(extra))), "$sizes")
+            assertEquals(frames.first(), queue.take())
+            assertFalse(frames.first().withdraw(), "a claimed frame may have left")
+            assertTrue(queue.offer(OutboundFrame(ByteArray(extra))))
+        }
+        val withdrawn = OutboundFrame(ByteArray(1))
+        assertTrue(withdrawn.withdraw() && withdrawn.withdraw())
+        assertFalse(withdrawn.claim(), "a withdrawn frame is not written")
+    }
+}
+
+/** Gives [bytes] in pieces of at most three, then the end. */
+private class BytesOnly(private val bytes: ByteArray) : ByteConnection {
+    private var position = 0
+
+    override suspend fun read(target: ByteArray, offset: Int, length: Int): Int {
+        if (position == bytes.size) return -1
+        val count = minOf(length, bytes.size - position, 3)
+        bytes.copyInto(target, offset, position, position + count)
+        position += count
+        return count
+    }
+
+    override suspend fun write(bytes: ByteArray) = Unit
+
+    override fun close() = Unit
+}
+
+private const val SEED = 4_711
+private const val FUZZ_ROUNDS = 20_000
+private const val MAX_FUZZ_BYTES = 64
--- /dev/null
+++ b/entry/src/test/kotlin/pistachiopass/entry/peer/Peers.kt
@@ -0,0 +1,123 @@
+/** Transports and a relay on loopback for the tests of the peer protocol. */
+package pistachiopass.entry.peer
+
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeout
+import pistachiopass.model.DataCentreId
+import pistachiopass.model.InstanceId
+import pistachiopass.peer.PeerIdentity
+import pistachiopass.peer.PeerMessage
+import pistachiopass.peer.startIdOf
+import java.io.Closeable
+import java.io.IOException
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.CopyOnWriteArrayList
+import javax.net.ssl.SSLContext
+import kotlin.random.Random
+import kotlin.time.TestTimeSource
+
+/** A transport with its clock, which stands still unless a test moves it. */
+internal class Peer(
+    name: String,
+    private val ports: MutableMap<InstanceId, Int>,
+    startMillis: Long = 1_000,
+    key: ByteArray = SHARED_KEY,
+    limits: PeerLimits = PeerLimits(keepAliveMillis = 40),
+    tls: SSLContext? = null,
+) : Closeable {
+    val id = InstanceId(name)
+    val clock = TestTimeSource()
+    val meters = SimpleMeterRegistry()
+    val startId = startIdOf(startMillis, Random(SEED))
+    val transport = socketPeerTransportOf(
+        PeerConfig(
+            PeerIdentity(id, DataCentreId("dc1"), startId),
+            key,
+            addresses = { peer -> ports[peer]?.let { "127.0.0.1:$it" } },
+            limits,
+            tls,
+            backoffSeed = SEED.toLong(),
+        ),
+        meters,
+        clock,
+    )
+    val handled = CopyOnWriteArrayList<String>()
+
+    /** Listens and answers calls of the type `echo` with their payload. */
+    suspend fun listen(): Peer {
+        transport.register("echo") { received ->
+            handled += received.sender.instance.value
+            PeerMessage("echoed", received.message.payload)
+        }
+        ports[id] = transport.listen("127.0.0.1", 0)
+        return this
+    }
+
+    suspend fun call(to: InstanceId, type: String = "echo") =
+        transport.call(to, PeerMessage(type, byteArrayOf(1, 2, 3)), CALL_TIMEOUT_MILLIS)
+
+    fun count(event: PeerEvent): Double = meters.counter(PEER_EVENTS_METER, "event", event.tag).count()
+
+    override fun close() = transport.close()
+}
+
+/** Passes bytes between its port and [targetPort]; [alter] sees each chunk and may change or, by null, swallow it. */
+internal class Relay(private val targetPort: Int) : Closeable {
+    private val connections = KtorConnections()
+    private val scope = CoroutineScope(Dispatchers.Default + Job())
+    val sent: MutableMap<Int, List<Byte>> = ConcurrentHashMap()
+
+    @Volatile
+    var alter: (connection: Int, chunk: ByteArray) -> ByteArray? = { _, chunk -> chunk }
+
+    suspend fun listen(): Int {
+        val listener = connections.listen("127.0.0.1", 0)
+        scope.launch {
+            var number = 0
+            while (true) {
+                val near = listener.accept()
+                val far = connections.connect("127.0.0.1", targetPort)
+                val connection = number++
+                launch { pump(near, far) { sent.merge(connection, it.toList(), List<Byte>::plus).let { _ -> alter(connection, it) } } }
+                launch { pump(far, near) { alter(connection, it) } }
+            }
+        }
+        return listener.port
+    }
+
+    private suspend fun pump(from: ByteConnection, to: ByteConnection, change: (ByteArray) -> ByteArray?) {
+        val buffer = ByteArray(4096)
+        try {
+            while (true) {
+                val count = from.read(buffer, 0, buffer.size)
+                if (count < 0) break
+                change(buffer.copyOf(count))?.let { to.write(it) }
+            }
+        } catch (_: IOException) {
+            // The other direction ends too.
+        }
+        from.close()
+        to.close()
+    }
+
+    override fun close() {
+        scope.cancel()
+        connections.close()
+    }
+}
+
+/** Waits until [condition] holds; fails after a generous limit. */
+internal suspend fun awaitUntil(condition: suspend () -> Boolean) = withTimeout(AWAIT_LIMIT_MILLIS) {
+    while (!condition()) delay(5)
+}
+
+internal val SHARED_KEY = ByteArray(MIN_KEY_BYTES) { 7 }
+internal const val CALL_TIMEOUT_MILLIS = 60_000L
+private const val AWAIT_LIMIT_MILLIS = 60_000L
+private const val SEED = 99
--- /dev/null
+++ b/entry/src/test/kotlin/pistachiopass/entry/peer/SocketPeerTransportTest.kt
@@ -0,0 +1,200 @@
+/** Checks the transport over loopback sockets: who is let in, and what a failed call says. */
+package pistachiopass.entry.peer
+
+import com.github.michaelbull.result.get
+import com.github.michaelbull.result.getError
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.awaitCancellation
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.runBlocking
+import org.junit.jupiter.api.AfterEach
+import pistachiopass.model.InstanceId
+import pistachiopass.model.StartId
+import pistachiopass.model.Verdict
+import pistachiopass.peer.LifeRegistry
+import pistachiopass.peer.PeerFailureCode
+import pistachiopass.peer.PeerMessage
+import pistachiopass.peer.SendOutcome
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.seconds
+
+class SocketPeerTransportTest {
+    private val ports = HashMap<InstanceId, Int>()
+    private val open = ArrayList<AutoCloseable>()
+
+    @AfterEach
+    fun closeAll() = open.forEach(AutoCloseable::close)
+
+    private fun <T : AutoCloseable> T.tracked(): T = also(open::add)
+
+    private suspend fun server(limits: PeerLimits = PeerLimits(keepAliveMillis = 40)) =
+        Peer("s", ports, limits = limits).tracked().listen()
+
+    private fun client(limits: PeerLimits = PeerLimits(keepAliveMillis = 40)) =
+        Peer("c", ports, limits = limits).tracked()
+
+    private suspend fun relayTo(server: Peer): Relay {
+        val relay = Relay(checkNotNull(ports[server.id])).tracked()
+        ports[server.id] = relay.listen()
+        return relay
+    }
+
+    @Test
+    fun `many calls are in flight on one connection both ways`() = runBlocking {
+        val (a, b) = listOf("a", "b").map { Peer(it, ports).tracked().listen() }
+        for ((from, to) in listOf(a to b, b to a)) {
+            val arrived = AtomicInteger()
+            val all = CompletableDeferred<Unit>()
+            to.transport.register("wait") { received ->
+                assertEquals(from.transport.self, received.sender)
+                if (arrived.incrementAndGet() == CALLS) all.complete(Unit)
+                all.await()
+                PeerMessage("done", received.message.payload)
+            }
+            val answers = List(CALLS) { number ->
+                async { from.transport.call(to.id, PeerMessage("wait", "$number".toByteArray()), CALL_TIMEOUT_MILLIS) }
+            }.awaitAll()
+            assertEquals(List(CALLS) { "$it" }, answers.map { it.get()?.payload?.decodeToString() })
+            assertEquals(1.0, from.count(PeerEvent.CONNECTED))
+        }
+    }
+
+    @Test
+    fun `a failed call says whether it may have run`() = runBlocking {
+        val server = server(PeerLimits(frameBytes = 1_000, keepAliveMillis = 40)).apply {
+            transport.register("throws") { error("fault of the test") }
+            transport.register("null") { null }
+            transport.register("hangs") { awaitCancellation() }
+            transport.register("long") { PeerMessage("long", ByteArray(2_000)) }
+        }
+        val client = client(PeerLimits(frameBytes = 1_000, keepAliveMillis = 40))
+        ports[InstanceId("closed")] = KtorConnections().use { it.listen("127.0.0.1", 0).use(ByteListener::port) }
+        ports[InstanceId("other")] = checkNotNull(ports[server.id])
+        ports[InstanceId("closes")] = closingServer("closes")
+        val stranger = client.startId
+        val cases = listOf(
+            Case("unknown", "echo", PeerFailureCode.UNREACHABLE, Verdict.NOT_RUN),
+            Case("closed", "echo", PeerFailureCode.UNREACHABLE, Verdict.NOT_RUN),
+            Case("other", "echo", PeerFailureCode.UNREACHABLE, Verdict.NOT_RUN),
+            Case("closes", "echo", PeerFailureCode.CONNECTION_LOST, Verdict.MAY_HAVE_RUN),
+            Case("s", "absent", PeerFailureCode.NO_HANDLER, Verdict.NOT_RUN),
+            Case("s", "throws", PeerFailureCode.HANDLER_FAILED, Verdict.MAY_HAVE_RUN),
+            Case("s", "null", PeerFailureCode.HANDLER_FAILED, Verdict.MAY_HAVE_RUN),
+            Case("s", "long", PeerFailureCode.HANDLER_FAILED, Verdict.MAY_HAVE_RUN),
+            Case("s", "x".repeat(1_000), PeerFailureCode.TOO_LARGE, Verdict.NOT_RUN),
+        )
+        for (case in cases) {
+            val failure = client.call(InstanceId(case.to), case.type).getError()
+            assertEquals(case.code to case.verdict, failure?.code to failure?.verdict, "$case")
+        }
+        val otherLife = client.transport.call(server.id, ECHO, CALL_TIMEOUT_MILLIS, StartId("earlier")).getError()
+        assertEquals(PeerFailureCode.OTHER_LIFE to Verdict.NOT_RUN, otherLife?.code to otherLife?.verdict)
+        val timeout = client.transport.call(server.id, PeerMessage("hangs", ByteArray(0)), timeoutMillis = 300).getError()
+        assertEquals(PeerFailureCode.TIMEOUT to Verdict.MAY_HAVE_RUN, timeout?.code to timeout?.verdict)
+        assertEquals(SendOutcome.QUEUED, client.transport.send(server.id, ECHO, server.startId))
+        assertEquals(SendOutcome.OTHER_LIFE, client.transport.send(server.id, ECHO, stranger))
+        awaitUntil { server.handled.size == 1 }
+    }
+
+    /** Accepts one connection, authenticates it, reads one frame and closes. */
+    private suspend fun closingServer(name: String): Int {
+        val connections = KtorConnections().tracked()
+        val listener = connections.listen("127.0.0.1", 0).tracked()
+        val identity = Peer(name, ports).tracked().transport.self
+        CoroutineScope(Dispatchers.Default).launch {
+            val channel = checkNotNull(Handshake(identity, SHARED_KEY, LifeRegistry()).accept(listener.accept()).get())
+            FrameReader(channel.connection).read(limitBytes = 1_000)
+            channel.connection.close()
+        }
+        return listener.port
+    }
+
+    @Test
+    fun `a call beyond the handler limit is refused as not run`() = runBlocking {
+        val server = server(PeerLimits(handlers = 0, keepAliveMillis = 40))
+        val failure = client().call(server.id).getError()
+        assertEquals(PeerFailureCode.OVERLOADED to Verdict.NOT_RUN, failure?.code to failure?.verdict)
+        assertEquals(1.0, server.count(PeerEvent.DROPPED_OVERLOADED))
+    }
+
+    @Test
+    fun `a silent connection is given up and a new one made`() = runBlocking {
+        val server = server()
+        val relay = relayTo(server)
+        val client = client()
+        assertTrue(client.call(server.id).isOk)
+        val swallowed = AtomicInteger()
+        relay.alter = { connection, chunk -> chunk.takeIf { connection > 0 }.also { swallowed.incrementAndGet() } }
+        val stranded = async { client.call(server.id) }
+        awaitUntil { swallowed.get() > 0 }
+        client.clock += 6.seconds
+        val failure = stranded.await().getError()
+        assertEquals(PeerFailureCode.CONNECTION_LOST to Verdict.MAY_HAVE_RUN, failure?.code to failure?.verdict)
+        assertTrue(client.call(server.id).isOk)
+        assertEquals(2.0, client.count(PeerEvent.CONNECTED))
+        assertEquals(2, server.handled.size)
+    }
+
+    @Test
+    fun `a changed frame ends the connection before it is handled`() = runBlocking {
+        val server = server()
+        val relay = relayTo(server)
+        val client = client()
+        assertTrue(client.call(server.id).isOk)
+        relay.alter = { _, chunk -> chunk.also { it[it.size - 1] = (it.last() + 1).toByte() } }
+        val failure = client.call(server.id).getError()
+        assertEquals(PeerFailureCode.CONNECTION_LOST to Verdict.MAY_HAVE_RUN, failure?.code to failure?.verdict)
+        assertEquals(1, server.handled.size)
+    }
+
+    @Test
+    fun `peers without the key are refused before any message is handled`() = runBlocking {
+        val server = server()
+        val relay = relayTo(server)
+        assertTrue(client().call(server.id).isOk)
+        val stranger = Peer("x", ports, key = ByteArray(MIN_KEY_BYTES) { 8 }).tracked()
+        val failure = stranger.call(server.id).getError()
+        assertEquals(PeerFailureCode.UNREACHABLE to Verdict.NOT_RUN, failure?.code to failure?.verdict)
+        val recorded = checkNotNull(relay.sent[0]).toByteArray()
+        val helloBytes = LENGTH_BYTES + java.nio.ByteBuffer.wrap(recorded).getInt()
+        val intruders = mapOf(
+            "replay" to recorded,
+            "hello with a wrong proof" to recorded.copyOf(helloBytes) + framed(ByteArray(MAC_BYTES)),
+            "long hello" to framed(ByteArray(HANDSHAKE_FRAME_BYTES + 1)),
+            "noise" to Random(1).nextBytes(500),
+        )
+        for ((name, bytes) in intruders) {
+            val refused = server.count(PeerEvent.REFUSED)
+            KtorConnections().use { connections ->
+                connections.connect("127.0.0.1", checkNotNull(ports[server.id])).use { it.write(bytes); awaitUntil { server.count(PeerEvent.REFUSED) > refused } }
+            }
+            assertEquals(listOf("c"), server.handled, name)
+        }
+    }
+
+    @Test
+    fun `an earlier life is refused once a newer one was seen`() = runBlocking {
+        val server = server()
+        val earlier = Peer("c", ports, startMillis = 1).tracked()
+        val later = Peer("c", ports, startMillis = 2).tracked()
+        assertTrue(earlier.call(server.id).isOk)
+        assertTrue(later.call(server.id).isOk)
+        awaitUntil { earlier.call(server.id).getError()?.code == PeerFailureCode.UNREACHABLE }
+        assertTrue(server.count(PeerEvent.REFUSED) > 0)
+        assertEquals(2, server.handled.size)
+        assertTrue(later.call(server.id).isOk)
+    }
+
+    private data class Case(val to: String, val type: String, val code: PeerFailureCode, val verdict: Verdict)
+}
+
+private const val CALLS = 200
+private val ECHO = PeerMessage("echo", ByteArray(1))
