--- a/entry/src/main/kotlin/pistachiopass/entry/http/FailureReplies.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/http/FailureReplies.kt
@@ -75,7 +75,8 @@
 /** Names the header of the key that makes a repeated request safe. */
 public const val IDEMPOTENCY_KEY_HEADER: String = "Idempotency-Key"
 
-private val PRECONDITION_REQUIRED: HttpStatusCode = HttpStatusCode(PRECONDITION_REQUIRED_STATUS, "Precondition Required")
+private val PRECONDITION_REQUIRED: HttpStatusCode =
+    HttpStatusCode(PRECONDITION_REQUIRED_STATUS, "Precondition Required")
 
 private val errorJson: Json = Json { explicitNulls = false }
 
