--- a/standins/src/main/kotlin/pistachiopass/standins/engine/StreamWriter.kt
+++ b/standins/src/main/kotlin/pistachiopass/standins/engine/StreamWriter.kt
@@ -10,6 +10,7 @@
 import io.ktor.utils.io.writeStringUtf8
 import kotlinx.coroutines.flow.first
 import pistachiopass.standins.fault.FaultSwitches
+import pistachiopass.standins.fault.SLOW
 import pistachiopass.standins.fault.pace
 
 /** Writes one stream to one reader; [nowMillis] tells the time for late chunks. */
@@ -47,6 +48,7 @@
     }
 
     private suspend fun writeChunk(offset: Int) {
+        if (faults[SLOW] != null) output.flush()
         faults.pace()
         val late = if (isChosen(offset)) faults.takeOrNull(LATE_CHUNKS) else null
         if (late != null) {
--- a/standins/src/test/kotlin/pistachiopass/standins/engine/EngineServerTest.kt
+++ b/standins/src/test/kotlin/pistachiopass/standins/engine/EngineServerTest.kt
@@ -9,6 +9,7 @@
 import io.ktor.client.request.header
 import io.ktor.client.request.post
 import io.ktor.client.request.preparePost
+import io.ktor.client.request.put
 import io.ktor.client.request.setBody
 import io.ktor.client.statement.HttpResponse
 import io.ktor.client.statement.bodyAsChannel
@@ -17,6 +18,7 @@
 import io.ktor.utils.io.readLine
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.cancelChildren
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
 import java.io.IOException
 import kotlin.test.Test
@@ -51,11 +53,10 @@
     }
 
     @Test
-    fun `a dropped reader ends no stream and a cancelled request frees its memory`() = withEngine {
-        val streamId = client.preparePost("$url/v1/chat/completions") { completion(answerTokens = 100_000) }.execute {
-            it.bodyAsChannel().readLine()
-            it.headers["X-Stream-Id"]
-        }
+    fun `a dropped reader ends no stream and a cancelled request frees its memory`() = withEngine(
+        SLOW_TOKENS_PER_SECOND
+    ) {
+        val streamId = startAndDrop(answerTokens = 1_000)
         assertEquals(listOf("r1"), load().requests.map { it.id })
         assertEquals(HttpStatusCode.NoContent, client.delete("$url/v1/requests/r1").status)
         assertEquals(HttpStatusCode.Gone, client.get("$url/v1/streams/$streamId").status)
@@ -73,6 +74,57 @@
         assertEquals(1, record().fallOvers)
     }
 
+    @Test
+    fun `a reader that takes nothing does not hold up its stream`() = withEngine {
+        client.preparePost("$url/v1/chat/completions") { completion(answerTokens = 40_000) }.execute {
+            while (record().requests.single().outcome != "finished") delay(POLL_MILLIS)
+            assertEquals(40_000, record().requests.single().tokens)
+        }
+    }
+
+    private class OrderCase(val body: String, val status: HttpStatusCode, val answer: String)
+
+    @Test
+    fun `orders are answered by their fencing number and their completeness`() = withEngine {
+        val cases = listOf(
+            OrderCase(
+                """{"kind":"load-model","model":"m2","version":"1","fencingNumber":12}""",
+                HttpStatusCode.OK,
+                """{"applied":true}""",
+            ),
+            OrderCase(
+                """{"kind":"unload-model","model":"m2","fencingNumber":11}""",
+                HttpStatusCode.Conflict,
+                """{"applied":false,"fencingNumber":12}""",
+            ),
+            OrderCase(
+                """{"kind":"set-role","fencingNumber":13}""",
+                HttpStatusCode.BadRequest,
+                """{"error":{"code":"bad_request","message":"the body is no complete order"}}""",
+            ),
+        )
+        for (case in cases) {
+            val answer = client.post("$url/v1/orders") { setBody(case.body) }
+            assertEquals(case.status to case.answer, answer.status to answer.bodyAsText(), case.body)
+        }
+        assertEquals(listOf("drape-8b", "m2"), load().models)
+    }
+
+    @Test
+    fun `a stream goes on under its id on the engine that imports its KV cache`() = withEngine(SLOW_TOKENS_PER_SECOND) {
+        val source = this
+        val streamId = startAndDrop(answerTokens = 1_000)
+        val cache = client.get("$url/v1/kv/r1").bodyAsText()
+        withEngine {
+            assertEquals(HttpStatusCode.OK, client.put("$url/v1/kv/r1") { setBody(cache) }.status)
+            assertEquals(HttpStatusCode.Conflict, client.put("$url/v1/kv/r1") { setBody(cache) }.status)
+            assertEquals(HttpStatusCode.BadRequest, client.put("$url/v1/kv/r2") { setBody(cache) }.status)
+            val body = client.get("$url/v1/streams/$streamId?offset=990").bodyAsText()
+            assertEquals((990..1_000).toList(), offsetsOf(body))
+        }
+        assertEquals(HttpStatusCode.NotFound, source.client.get("${source.url}/v1/kv/unknown").status)
+    }
+
     private class ChunkFault(val fault: String, val offsets: List<Int>)
 
     @Test
@@ -100,10 +152,25 @@
     }
 }
 
+private const val POLL_MILLIS: Long = 20
+
+/** Speed at which answers of the tests end soon. */
+private const val FAST_TOKENS_PER_SECOND: Long = 20_000
+
+/** Speed at which an answer is sure to be unfinished while a test acts on it. */
+private const val SLOW_TOKENS_PER_SECOND: Long = 1
+
 private class EngineFixture(val client: HttpClient, val url: String) {
     suspend fun complete(answerTokens: Int, promptCharacters: Int = 10): HttpResponse =
         client.post("$url/v1/chat/completions") { completion(answerTokens, promptCharacters) }
 
+    /** Starts a streamed answer, reads its first line, drops the connection and returns the stream id. */
+    suspend fun startAndDrop(answerTokens: Int): String? =
+        client.preparePost("$url/v1/chat/completions") { completion(answerTokens) }.execute {
+            it.bodyAsChannel().readLine()
+            it.headers["X-Stream-Id"]
+        }
+
     suspend fun load(): LoadReport = ENGINE_JSON.decodeFromString(client.get("$url/v1/load").bodyAsText())
 
     suspend fun record(): RecordReport = ENGINE_JSON.decodeFromString(client.get("$url/admin/record").bodyAsText())
@@ -123,8 +190,16 @@
     )
 }
 
-private fun withEngine(test: suspend EngineFixture.() -> Unit) = runBlocking(Dispatchers.Default) {
-    val settings = EngineSettings(startCold = false, loadLagMillis = 0, decodeTokensPerSecond = 10_000)
+private fun withEngine(
+    decodeTokensPerSecond: Long = FAST_TOKENS_PER_SECOND,
+    test: suspend EngineFixture.() -> Unit,
+): Unit = runBlocking(Dispatchers.Default) {
+    val settings = EngineSettings(
+        startCold = false,
+        loadLagMillis = 0,
+        decodeTokensPerSecond = decodeTokensPerSecond,
+        modelLoadMillis = 1,
+    )
     val server = EngineServer(settings, port = 0)
     val url = "http://127.0.0.1:${server.start(this)}"
     HttpClient(CIO).use { EngineFixture(it, url).test() }
