Test stalled peers and large frames, keep accepting after a failed accept

Cause: one IOException in accept, such as too few file descriptors, ended the accept loop for good; a TLS connect that was cancelled could leave its socket open; nothing tested a peer that takes no bytes. Ruled out: ending the loop when the listener is closed, since only the end of the transport closes it. Change: a failed accept is counted and tried again after 100 ms; sockets of failed TLS connects are closed; tests with a stalled peer over TCP and TLS (the call behind the blocked frame must be "not run") and with 4 MB payloads. Conclusion: closing frees a blocked write on both kinds of sockets.

--- a/entry/src/main/kotlin/pistachiopass/entry/peer/PeerServer.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/peer/PeerServer.kt
@@ -7,6 +7,7 @@
 import com.github.michaelbull.result.onFailure
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.sync.Semaphore
@@ -28,23 +29,28 @@
     private val handshakes: Semaphore = Semaphore(limits.handshakes)
     private val sessions: ConcurrentHashMap<InstanceId, PeerSession> = ConcurrentHashMap()
 
-    /** Accepts connections until the coroutine is cancelled or the listener closed. */
+    /** Accepts connections until the coroutine is cancelled; a failed accept is tried again. */
     suspend fun run(listener: ByteListener, scope: CoroutineScope) {
         while (currentCoroutineContext().isActive) {
-            val connection = try {
-                listener.accept()
-            } catch (_: IOException) {
-                return
-            }
-            if (handshakes.tryAcquire()) {
-                scope.launch { serve(connection) }
-            } else {
-                events.refused(HandshakeError.TOO_MANY)
-                connection.close()
+            val connection = acceptOrNull(listener)
+            when {
+                connection == null -> delay(ACCEPT_PAUSE_MILLIS)
+                handshakes.tryAcquire() -> scope.launch { serve(connection) }
+                else -> {
+                    events.refused(HandshakeError.TOO_MANY)
+                    connection.close()
+                }
             }
         }
     }
 
+    private suspend fun acceptOrNull(listener: ByteListener): ByteConnection? = try {
+        listener.accept()
+    } catch (_: IOException) {
+        events.refused(HandshakeError.LOST)
+        null
+    }
+
     /** Ends all sessions. */
     fun close() = sessions.values.forEach { it.close(FrameError.ENDED) }
 
@@ -71,3 +77,5 @@
         handshakes.release()
     }
 }
+
+private const val ACCEPT_PAUSE_MILLIS: Long = 100
--- a/entry/src/main/kotlin/pistachiopass/entry/peer/TlsConnections.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/peer/TlsConnections.kt
@@ -24,8 +24,14 @@
 
     override suspend fun connect(host: String, port: Int): ByteConnection {
         val socket = Socket()
-        threads.await(socket) { socket.connect(InetSocketAddress(host, port)) }
-        return connectionOf(socket, isClient = true)
+        var connection: ByteConnection? = null
+        try {
+            threads.await(socket) { socket.connect(InetSocketAddress(host, port)) }
+            connection = connectionOf(socket, isClient = true)
+        } finally {
+            if (connection == null) socket.close()
+        }
+        return connection
     }
 
     override suspend fun listen(host: String, port: Int): ByteListener {
--- a/entry/src/test/kotlin/pistachiopass/entry/peer/Peers.kt
+++ b/entry/src/test/kotlin/pistachiopass/entry/peer/Peers.kt
@@ -1,10 +1,15 @@
 /** Transports and a relay on loopback for the tests of the peer protocol. */
 package pistachiopass.entry.peer
 
+import com.github.michaelbull.result.get
+import com.github.michaelbull.result.getError
+import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.Job
+import kotlinx.coroutines.async
 import kotlinx.coroutines.cancel
+import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeout
@@ -12,8 +17,12 @@
 import pistachiopass.entry.metrics.metricsOf
 import pistachiopass.model.DataCentreId
 import pistachiopass.model.InstanceId
+import pistachiopass.model.Verdict
+import pistachiopass.peer.LifeRegistry
+import pistachiopass.peer.PeerFailureCode
 import pistachiopass.peer.PeerIdentity
 import pistachiopass.peer.PeerMessage
+import pistachiopass.peer.SendOutcome
 import pistachiopass.peer.startIdOf
 import java.io.Closeable
 import java.io.IOException
@@ -21,6 +30,8 @@
 import java.util.concurrent.CopyOnWriteArrayList
 import javax.net.ssl.SSLContext
 import kotlin.random.Random
+import kotlin.test.assertEquals
+import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TestTimeSource
 
 /** A transport with its clock, which stands still unless a test moves it. */
@@ -60,13 +71,15 @@
         return this
     }
 
-    suspend fun call(to: InstanceId, type: String = "echo") =
-        transport.call(to, PeerMessage(type, byteArrayOf(1, 2, 3)), CALL_TIMEOUT_MILLIS)
+    suspend fun call(to: InstanceId, type: String = "echo", payload: ByteArray = byteArrayOf(1, 2, 3)) =
+        transport.call(to, PeerMessage(type, payload), CALL_TIMEOUT_MILLIS)
 
-    fun count(event: PeerEvent): Int {
-        val line = "pistachiopass_peer_events_total{event=\"${event.name.lowercase()}\"} "
-        return metrics.scrape().lines().find { it.startsWith(line) }?.removePrefix(line)?.toDouble()?.toInt() ?: 0
-    }
+    fun count(event: PeerEvent): Int = metric("pistachiopass_peer_events_total{event=\"${event.name.lowercase()}\"} ")
+
+    fun echoesSent(): Int = metric("pistachiopass_peer_messages_total{direction=\"sent\",kind=\"echo\"} ")
+
+    private fun metric(line: String): Int =
+        metrics.scrape().lines().find { it.startsWith(line) }?.removePrefix(line)?.toDouble()?.toInt() ?: 0
 
     override fun close() = transport.close()
 }
@@ -121,6 +134,43 @@
     }
 }
 
+/** Accepts one connection over [connections], authenticates it, runs [then] and closes; returns the port. */
+internal suspend fun fakeServer(
+    connections: ByteConnections,
+    identity: PeerIdentity,
+    then: suspend (SecureChannel) -> Unit,
+): Int {
+    val listener = connections.listen("127.0.0.1", 0)
+    CoroutineScope(Dispatchers.Default).launch {
+        val channel = checkNotNull(Handshake(identity, SHARED_KEY, LifeRegistry()).accept(listener.accept()).get())
+        then(channel)
+        channel.connection.close()
+        listener.close()
+    }
+    return listener.port
+}
+
+/** Checks that a peer that takes no bytes fills one bounded queue, and that what was not written is not run. */
+internal suspend fun checkStalledPeer(connections: ByteConnections, tls: SSLContext? = null): Unit = coroutineScope {
+    val ports = HashMap<InstanceId, Int>()
+    val limits = TEST_LIMITS.copy(frameBytes = MEBIBYTE_BYTES, sendQueueBytes = 2L * MEBIBYTE_BYTES)
+    val stalled = PeerIdentity(InstanceId("s"), DataCentreId("dc1"), startIdOf(wallClockMillis = 1, Random(SEED)))
+    val isChecked = CompletableDeferred<Unit>()
+    ports[stalled.instance] = fakeServer(connections, stalled) { isChecked.await() }
+    Peer("c", ports, limits = limits, tls = tls).use { client ->
+        val large = PeerMessage("echo", ByteArray(MEBIBYTE_BYTES - 100))
+        awaitUntil { client.transport.send(stalled.instance, large) == SendOutcome.QUEUE_FULL }
+        val notices = client.echoesSent()
+        val queued = async { client.call(stalled.instance) }
+        awaitUntil { client.echoesSent() > notices }
+        client.clock += 6.seconds
+        val failure = queued.await().getError()
+        assertEquals(PeerFailureCode.CONNECTION_LOST to Verdict.NOT_RUN, failure?.code to failure?.verdict)
+        awaitUntil { client.count(PeerEvent.DISCONNECTED) == 1 }
+    }
+    isChecked.complete(Unit)
+}
+
 /** Waits until [condition] holds; fails after a generous limit. */
 internal suspend fun awaitUntil(condition: suspend () -> Boolean) = withTimeout(AWAIT_LIMIT_MILLIS) {
     while (!condition()) delay(5)
@@ -134,3 +184,4 @@
 internal const val CALL_TIMEOUT_MILLIS = 60_000L
 private const val AWAIT_LIMIT_MILLIS = 60_000L
 private const val SEED = 99
+private const val MEBIBYTE_BYTES = 1024 * 1024
--- a/entry/src/test/kotlin/pistachiopass/entry/peer/SocketPeerTransportTest.kt
+++ b/entry/src/test/kotlin/pistachiopass/entry/peer/SocketPeerTransportTest.kt
@@ -4,19 +4,15 @@
 import com.github.michaelbull.result.get
 import com.github.michaelbull.result.getError
 import kotlinx.coroutines.CompletableDeferred
-import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.awaitCancellation
-import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
 import org.junit.jupiter.api.AfterEach
 import pistachiopass.entry.metrics.PeerEvent
 import pistachiopass.model.InstanceId
 import pistachiopass.model.StartId
 import pistachiopass.model.Verdict
-import pistachiopass.peer.LifeRegistry
 import pistachiopass.peer.PeerFailureCode
 import pistachiopass.peer.PeerMessage
 import pistachiopass.peer.SendOutcome
@@ -24,6 +20,7 @@
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.random.Random
 import kotlin.test.Test
+import kotlin.test.assertContentEquals
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
 import kotlin.time.Duration.Companion.seconds
@@ -66,6 +63,8 @@
             }.awaitAll()
             assertEquals(List(CALLS) { "$it" }, answers.map { it.get()?.payload?.decodeToString() })
             assertEquals(1, from.count(PeerEvent.CONNECTED))
+            val large = Random(1).nextBytes(LARGE_BYTES)
+            assertContentEquals(large, from.call(to.id, payload = large).get()?.payload)
         }
     }
 
@@ -80,7 +79,10 @@
         val client = client(TEST_LIMITS.copy(frameBytes = 1_000))
         ports[InstanceId("closed")] = KtorConnections().use { it.listen("127.0.0.1", 0).use(ByteListener::port) }
         ports[InstanceId("other")] = checkNotNull(ports[server.id])
-        ports[InstanceId("closes")] = closingServer("closes")
+        val closes = Peer("closes", ports).tracked().transport.self
+        ports[closes.instance] = fakeServer(KtorConnections().tracked(), closes) { channel ->
+            FrameReader(channel.connection).read(limitBytes = 1_000)
+        }
         val cases = listOf(
             Case("unknown", "echo", PeerFailureCode.UNREACHABLE, Verdict.NOT_RUN),
             Case("closed", "echo", PeerFailureCode.UNREACHABLE, Verdict.NOT_RUN),
@@ -108,19 +110,6 @@
         awaitUntil { server.handled.size == 1 }
     }
 
-    /** Accepts one connection, authenticates it, reads one frame and closes. */
-    private suspend fun closingServer(name: String): Int {
-        val connections = KtorConnections().tracked()
-        val listener = connections.listen("127.0.0.1", 0).tracked()
-        val identity = Peer(name, ports).tracked().transport.self
-        CoroutineScope(Dispatchers.Default).launch {
-            val channel = checkNotNull(Handshake(identity, SHARED_KEY, LifeRegistry()).accept(listener.accept()).get())
-            FrameReader(channel.connection).read(limitBytes = 1_000)
-            channel.connection.close()
-        }
-        return listener.port
-    }
-
     @Test
     fun `a call beyond the handler limit is refused as not run`() = runBlocking {
         val server = server(TEST_LIMITS.copy(handlers = 0))
@@ -147,6 +136,11 @@
         assertEquals(2, server.handled.size)
     }
 
+    @Test
+    fun `a peer that takes no bytes fills a bounded queue and what was not written is not run`() = runBlocking {
+        KtorConnections().use { checkStalledPeer(it) }
+    }
+
     @Test
     fun `a changed frame ends the connection before it is handled`() = runBlocking {
         val server = server()
@@ -204,4 +198,5 @@
 }
 
 private const val CALLS = 200
+private const val LARGE_BYTES = 4_000_000
 private val ECHO = PeerMessage("echo", ByteArray(1))
--- a/entry/src/test/kotlin/pistachiopass/entry/tls/TlsTest.kt
+++ b/entry/src/test/kotlin/pistachiopass/entry/tls/TlsTest.kt
@@ -15,6 +15,8 @@
 import org.junit.jupiter.api.BeforeAll
 import org.junit.jupiter.api.io.TempDir
 import pistachiopass.entry.peer.Peer
+import pistachiopass.entry.peer.TlsConnections
+import pistachiopass.entry.peer.checkStalledPeer
 import pistachiopass.entry.settings.TlsSettings
 import pistachiopass.model.InstanceId
 import pistachiopass.model.Verdict
@@ -45,7 +47,7 @@
             Peer("s", ports, tls = serverKey?.let { material(it).sslContext() }).use { server ->
                 server.listen()
                 Peer("c", ports, tls = clientKey?.let { material(it).sslContext() }).use { client ->
-                    val failure = client.call(server.id).getError()
+                    val failure = client.call(server.id, payload = ByteArray(LARGE_BYTES)).getError()
                     val expected = if (isAccepted) null else PeerFailureCode.UNREACHABLE to Verdict.NOT_RUN
                     assertEquals(expected, failure?.let { it.code to it.verdict }, "$clientKey to $serverKey")
                     assertEquals(if (isAccepted) 1 else 0, server.handled.size, "$clientKey to $serverKey")
@@ -54,6 +56,12 @@
         }
     }
 
+    @Test
+    fun `a blocked write ends with the connection`() = runBlocking {
+        val context = material("fleet").sslContext()
+        TlsConnections(context).use { checkStalledPeer(it, context) }
+    }
+
     @Test
     fun `callers are served over HTTPS by the key that they trust`() = runBlocking {
         for ((serverKey, isTrusted) in listOf("fleet" to true, "stranger" to false)) {
@@ -108,4 +116,5 @@
     }
 }
 
+private const val LARGE_BYTES = 4_000_000
 private const val PASSWORD = "for-this-test"
