Add bookings that run at most once, as decision code with tests in virtual time

A doubled booking is the failure both users remember. A key is pinned to the incarnation that issued it, whose ledger alone decides whether it runs; a stopping instance moves its sealed ledger to one life of one successor, and to another only after a refusal that is final there.

Ruled out: giving a key back after 'not run'. An earlier attempt that was held up on its way could arrive after the refusal and make it false, so a refused key ends too and the caller gets a fresh one. Also ruled out: 'not run' for a genuine key that has expired, since its first attempt may have run.

--- /dev/null
+++ b/coordination/src/main/kotlin/pistachiopass/booking/BookingRouter.kt
@@ -0,0 +1,121 @@
+/**
+ * Brings bookings to the incarnation that holds their keys.
+ *
+ * The request may be passed on as often as needed, since the holder alone decides whether it runs. What cannot be
+ * found out in time is said to be `may have run`: an earlier attempt with the key may have reached the holder.
+ */
+package pistachiopass.booking
+
+import com.github.michaelbull.result.get
+import com.github.michaelbull.result.mapBoth
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.withTimeoutOrNull
+import pistachiopass.model.Failure
+import pistachiopass.model.FailureCode
+import pistachiopass.model.Instance
+import pistachiopass.model.InstanceId
+import pistachiopass.model.Verdict
+import pistachiopass.peer.PeerFailure
+import pistachiopass.peer.PeerFailureCode
+import pistachiopass.peer.PeerTransport
+import pistachiopass.peer.call
+import kotlin.time.ComparableTimeMark
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.TimeSource
+
+/** Finds holders with [directory] and by asking the published instances of the issuer's data centre. */
+public class BookingRouter internal constructor(
+    private val transport: PeerTransport,
+    private val runner: BookingRunner,
+    private val ledger: BookingLedger,
+    private val directory: HolderDirectory,
+    private val instances: () -> List<Instance>,
+    private val clock: TimeSource.WithComparableMarks,
+) {
+    /** Returns the outcome of the booking [key], at the latest after [timeoutMillis]. */
+    public suspend fun book(
+        key: BookingKey,
+        keyText: String,
+        request: BookingRequest,
+        timeoutMillis: Long,
+    ): BookingOutcome {
+        val deadline = clock.markNow() + timeoutMillis.milliseconds
+        val search = Search(key.issuer, RunCall(keyText, request, waitMillis = 0), deadline)
+        return withTimeoutOrNull(timeoutMillis) { search.run(key) } ?: unknown(FailureCode.TIMEOUT, TIMEOUT_MESSAGE)
+    }
+
+    /** Returns the holder of the keys of [issuer] as far as it is known here. */
+    internal fun knownHolderOrNull(issuer: Incarnation): Incarnation? =
+        if (ledger.holds(issuer) && issuer != ledger.self) ledger.self else directory.holderOrNull(issuer)
+
+    private inner class Search(
+        private val issuer: Incarnation,
+        private val template: RunCall,
+        private val deadline: ComparableTimeMark,
+    ) {
+        private val searchEnd = minOf(deadline, clock.markNow() + SEARCH_MILLIS.milliseconds)
+
+        suspend fun run(key: BookingKey): BookingOutcome {
+            var holder = knownHolderOrNull(issuer) ?: issuer
+            while (true) {
+                val reply = ask(key, holder)
+                if (reply is RunReply.Done) return reply.outcome
+                val next = (reply as? RunReply.Moved)?.holder ?: locateOrNull(holder)
+                if (next == null || next == holder) {
+                    if (searchEnd.hasPassedNow()) return unknown(FailureCode.ENDPOINT_FAILED, LOST_MESSAGE)
+                    delay(SEARCH_PAUSE_MILLIS)
+                } else {
+                    directory.learn(issuer, next)
+                }
+                holder = next ?: issuer
+            }
+        }
+
+        private suspend fun ask(key: BookingKey, holder: Incarnation): RunReply? {
+            val waitMillis = (-deadline.elapsedNow().inWholeMilliseconds).coerceAtLeast(0)
+            if (holder == ledger.self) return runner.run(key, template.request, waitMillis)
+            val call = RunCall(template.key, template.request, (waitMillis - HOP_MILLIS).coerceAtLeast(0))
+            return transport.call(holder.instance, RUN_CALL.encode(call), RUN_REPLY, waitMillis, holder.startId)
+                .mapBoth({ it }, ::replyOrNull)
+        }
+
+        private suspend fun locateOrNull(asked: Incarnation): Incarnation? =
+            knownHolderOrNull(issuer)?.takeIf { it == ledger.self } ?: bestOf(askPeers(), asked)
+
+        /** Prefers a peer's word on itself to what it has heard of others. */
+        private fun bestOf(holders: Map<InstanceId, Incarnation>, asked: Incarnation): Incarnation? =
+            holders.entries.firstOrNull { (peer, holder) -> holder.instance == peer }?.value
+                ?: holders.values.firstOrNull { it != asked }
+
+        private suspend fun askPeers(): Map<InstanceId, Incarnation> = coroutineScope {
+            val message = LOCATE_CALL.encode(LocateCall(issuer))
+            val peers = instances().filter { it.dataCentre == issuer.dataCentre }.map { it.id } - ledger.self.instance
+            peers.map { peer -> async { peer to transport.call(peer, message, LOCATE_REPLY, LOCATE_MILLIS) } }
+                .awaitAll()
+                .mapNotNull { (peer, reply) -> reply.get()?.holder?.let { peer to it } }
+                .toMap()
+        }
+    }
+
+    /** A booking too large for a frame was refused on this side; nothing of it is known to the holder. */
+    private fun replyOrNull(failure: PeerFailure): RunReply? =
+        if (failure.code == PeerFailureCode.TOO_LARGE) {
+            RunReply.Done(unknown(FailureCode.PROMPT_TOO_LARGE, "the booking is too long to be passed to its holder"))
+        } else {
+            null
+        }
+}
+
+private fun unknown(code: FailureCode, message: String): BookingOutcome =
+    BookingOutcome.Failed(Failure(code, Verdict.MAY_HAVE_RUN, message, RETRY_MILLIS))
+
+private const val TIMEOUT_MESSAGE: String = "the outcome of the booking is not known yet"
+private const val LOST_MESSAGE: String = "the instance that holds the key cannot be reached"
+private const val RETRY_MILLIS: Long = 1_000
+private const val SEARCH_MILLIS: Long = 3_000
+private const val SEARCH_PAUSE_MILLIS: Long = 100
+private const val LOCATE_MILLIS: Long = 500
+private const val HOP_MILLIS: Long = 50
--- /dev/null
+++ b/coordination/src/main/kotlin/pistachiopass/booking/LedgerEntry.kt
@@ -0,0 +1,89 @@
+/** The entries of a ledger, and the form in which they move to another instance. */
+package pistachiopass.booking
+
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.serialization.Serializable
+import pistachiopass.model.Failure
+import pistachiopass.model.FailureCode
+import pistachiopass.model.Verdict
+import kotlin.time.ComparableTimeMark
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Holds the keys of a sealed ledger, and the incarnations whose keys they are. */
+@Serializable
+public data class LedgerExport(val issuers: List<Incarnation>, val keys: List<MovedKey>)
+
+/** Holds one key as it moves; one without [outcome] has not run. */
+@Serializable
+public data class MovedKey(
+    val issuer: Incarnation,
+    val sequence: Long,
+    val remainingMillis: Long,
+    val digest: PayloadDigest? = null,
+    val outcome: BookingOutcome? = null,
+)
+
+internal enum class KeyState { ISSUED, RUNNING, ENDED }
+
+internal data class LedgerKey(val issuer: Incarnation, val sequence: Long)
+
+internal class LedgerEntry(var state: KeyState, var expiresAt: ComparableTimeMark) {
+    var digest: PayloadDigest? = null
+    var outcome: BookingOutcome? = null
+    var running: CompletableDeferred<BookingOutcome>? = null
+
+    fun hasExpired(): Boolean = state != KeyState.RUNNING && expiresAt.hasPassedNow()
+
+    fun heldBytes(): Long = ENTRY_BYTES + (outcome?.heldBytes() ?: 0)
+
+    fun toMoved(key: LedgerKey): MovedKey = MovedKey(
+        key.issuer,
+        key.sequence,
+        remainingMillis = -expiresAt.elapsedNow().inWholeMilliseconds,
+        digest,
+        outcome = if (state == KeyState.RUNNING) unfinished() else outcome,
+    )
+
+    private fun unfinished(): BookingOutcome = BookingOutcome.Failed(
+        Failure(FailureCode.ENDPOINT_FAILED, Verdict.MAY_HAVE_RUN, "the instance stopped before the service answered"),
+    )
+}
+
+internal fun BookingKey.toLedgerKey(): LedgerKey = LedgerKey(issuer, sequence)
+
+internal fun MovedKey.heldBytes(): Long = ENTRY_BYTES + (outcome?.heldBytes() ?: 0)
+
+internal fun MovedKey.toEntry(now: ComparableTimeMark): LedgerEntry {
+    val state = if (outcome == null) KeyState.ISSUED else KeyState.ENDED
+    return LedgerEntry(state, now + remainingMillis.milliseconds).also {
+        it.digest = digest
+        it.outcome = outcome
+    }
+}
+
+internal fun BookingOutcome.heldBytes(): Long = when (this) {
+    is BookingOutcome.Answer -> body.size + headers.sumOf { it.name.length + it.value.length.toLong() }
+    is BookingOutcome.Failed -> failure.message.length.toLong()
+}
+
+/** Returns this outcome, or a failure with the verdict `ran` in place of an answer of more than [maxBytes]. */
+internal fun BookingOutcome.limitedTo(maxBytes: Int): BookingOutcome =
+    if (this is BookingOutcome.Answer && heldBytes() > maxBytes) {
+        val message = "the service answered $status with ${heldBytes()} bytes; $maxBytes are recorded at most"
+        BookingOutcome.Failed(Failure(FailureCode.ENDPOINT_FAILED, Verdict.RAN, message))
+    } else {
+        this
+    }
+
+/** The outcome of a booking that the ledger had no room to run. */
+internal val NO_ROOM: BookingOutcome = BookingOutcome.Failed(
+    Failure(
+        FailureCode.OVERLOADED,
+        Verdict.NOT_RUN,
+        "the instance has no room to record another answer",
+        retryAfterMillis = 1_000,
+    ),
+)
+
+/** Memory of an entry without its outcome. */
+internal const val ENTRY_BYTES: Long = 384
--- /dev/null
+++ b/coordination/src/main/kotlin/pistachiopass/booking/LedgerMover.kt
@@ -0,0 +1,148 @@
+/**
+ * Moves the ledger of a stopping instance to one successor.
+ *
+ * The successor is fixed before anything is sent to it, with the life that answered. Another is chosen only after a
+ * refusal, which proves that the first holds nothing and never will. Without an answer nobody else gets the ledger.
+ */
+package pistachiopass.booking
+
+import com.github.michaelbull.result.get
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.withTimeoutOrNull
+import pistachiopass.model.Instance
+import pistachiopass.model.InstanceState
+import pistachiopass.peer.PeerTransport
+import pistachiopass.peer.call
+import pistachiopass.peer.sendToAll
+import pistachiopass.routing.rankedFor
+
+/** Tells how a move ended. */
+public enum class MoveOutcome {
+    /** There was nothing to move. */
+    EMPTY,
+
+    /** The successor confirmed that it holds the ledger. */
+    ADOPTED,
+
+    /** The successor may hold the ledger; nobody else does. */
+    UNKNOWN,
+
+    /** No instance took the ledger. */
+    NO_SUCCESSOR,
+}
+
+/** Decides whether another successor may be tried after an attempt that ended with [MoveState] or, null, unknown. */
+public fun interface SuccessorRule {
+    /** Returns whether the ledger may be given to another instance. */
+    public fun mayTryAnother(state: MoveState?): Boolean
+}
+
+/** Lets another successor be tried only after a refusal. */
+public val afterRefusal: SuccessorRule = SuccessorRule { it == MoveState.REFUSED }
+
+/** Moves [ledger] over [transport]. */
+public class LedgerMover internal constructor(
+    private val transport: PeerTransport,
+    private val ledger: BookingLedger,
+    private val runner: BookingRunner,
+    private val instances: () -> List<Instance>,
+    private val events: BookingEvents,
+    private val rule: SuccessorRule,
+) {
+    private val self: Incarnation = ledger.self
+
+    /** Seals the ledger; bookings that run go on. */
+    public fun seal() {
+        ledger.seal()
+        events.sealed(ledger.keyCount)
+    }
+
+    /** Moves the sealed ledger within [timeoutMillis] and tells all peers who holds it. */
+    public suspend fun move(timeoutMillis: Long): MoveOutcome {
+        val export = ledger.export()
+        if (export.keys.isEmpty()) return MoveOutcome.EMPTY
+        var successor: Incarnation? = null
+        val outcome = withTimeoutOrNull(timeoutMillis) { tryCandidates(export) { successor = it } }
+            ?: if (successor == null) MoveOutcome.NO_SUCCESSOR else MoveOutcome.UNKNOWN
+        events.moved(outcome, successor)
+        return outcome
+    }
+
+    /** Reports to [onChosen] each successor before anything is sent to it, and null after its refusal. */
+    private suspend fun tryCandidates(export: LedgerExport, onChosen: (Incarnation?) -> Unit): MoveOutcome {
+        repeat(OFFER_ROUNDS) {
+            for (candidate in candidates()) {
+                val chosen = successorOrNull(candidate) ?: continue
+                onChosen(chosen)
+                attempt(chosen, export)?.let { return it }
+                onChosen(null)
+            }
+            if (candidates().isNotEmpty()) delay(MOVE_PAUSE_MILLIS)
+        }
+        return MoveOutcome.NO_SUCCESSOR
+    }
+
+    private fun candidates(): List<Instance> = instances()
+        .filter { it.dataCentre == self.dataCentre && it.state == InstanceState.LIVE && it.id != self.instance }
+        .rankedFor(self.startId.value) { it.id.value }
+
+    private suspend fun successorOrNull(candidate: Instance): Incarnation? =
+        transport.call(candidate.id, OFFER_CALL.encode(OfferCall(self)), OFFER_REPLY, OFFER_MILLIS)
+            .get()
+            ?.takeIf { it.accepts }
+            ?.successor
+
+    /** Returns how the move to [successor] ended, or null when another may be tried. */
+    private suspend fun attempt(successor: Incarnation, export: LedgerExport): MoveOutcome? {
+        runner.moveTo(successor)
+        val parts = export.inParts()
+        var state: MoveState? = null
+        for (part in parts.indices) {
+            state = sendPart(successor, MoveCall(self, part, parts.size, parts[part]))
+            if (state != MoveState.INCOMPLETE) break
+        }
+        if (state == MoveState.ADOPTED) tellPeers(successor, export.issuers)
+        if (state != MoveState.ADOPTED && rule.mayTryAnother(state)) return null
+        return if (state == MoveState.ADOPTED) MoveOutcome.ADOPTED else MoveOutcome.UNKNOWN
+    }
+
+    /** Sends a part until there is an answer; null when there is none and [rule] lets another instance have it. */
+    private suspend fun sendPart(successor: Incarnation, part: MoveCall): MoveState? {
+        val message = MOVE_CALL.encode(part)
+        while (true) {
+            val reply = transport.call(successor.instance, message, MOVE_REPLY, MOVE_MILLIS, successor.startId).get()
+            if (reply != null || rule.mayTryAnother(null)) return reply?.state
+            delay(MOVE_PAUSE_MILLIS)
+        }
+    }
+
+    private suspend fun tellPeers(successor: Incarnation, issuers: List<Incarnation>) {
+        val peers = instances().map { it.id }.filter { it != self.instance }
+        withTimeoutOrNull(NOTICE_MILLIS) {
+            transport.sendToAll(peers, MOVED_NOTICE.encode(MovedNotice(issuers, successor)))
+        }
+    }
+}
+
+private fun LedgerExport.inParts(): List<LedgerExport> {
+    val parts = ArrayList<LedgerExport>()
+    var bytes = 0L
+    var keys = ArrayList<MovedKey>()
+    for (key in this.keys) {
+        if (keys.isNotEmpty() && bytes + key.heldBytes() > PART_BYTES) {
+            parts += LedgerExport(issuers, keys)
+            keys = ArrayList()
+            bytes = 0
+        }
+        keys += key
+        bytes += key.heldBytes()
+    }
+    return parts + LedgerExport(issuers, keys)
+}
+
+private const val PART_BYTES: Long = 1_000_000
+private const val OFFER_MILLIS: Long = 1_000
+private const val MOVE_MILLIS: Long = 1_000
+private const val MOVE_PAUSE_MILLIS: Long = 100
+private const val OFFER_ROUNDS: Int = 3
+private const val NOTICE_MILLIS: Long = 1_000
--- /dev/null
+++ b/coordination/src/main/kotlin/pistachiopass/booking/MoveInbox.kt
@@ -0,0 +1,37 @@
+/** Takes over the ledgers of instances that stop. */
+package pistachiopass.booking
+
+/**
+ * Collects the parts of ledgers and puts each ledger in force once, as a whole.
+ *
+ * What was decided on a ledger stays decided: a part that comes late or again changes nothing. So the sender may
+ * choose another successor after a refusal.
+ */
+public class MoveInbox internal constructor(private val ledger: BookingLedger) {
+    private val collected: HashMap<Incarnation, MutableMap<Int, LedgerExport>> = HashMap()
+    private val decided: HashMap<Incarnation, MoveState> = HashMap()
+
+    /** Takes one part and tells the state of the move. */
+    @Synchronized
+    public fun receive(move: MoveCall): MoveState {
+        decided[move.from]?.let { return it }
+        val parts = collected.getOrPut(move.from) { HashMap() }
+        parts[move.part] = move.ledger
+        return when {
+            collected.size > MAX_MOVES -> decide(move.from, MoveState.REFUSED)
+            parts.size < move.parts -> MoveState.INCOMPLETE
+            else -> decide(move.from, if (ledger.adopt(merge(parts))) MoveState.ADOPTED else MoveState.REFUSED)
+        }
+    }
+
+    private fun decide(from: Incarnation, state: MoveState): MoveState {
+        collected.remove(from)
+        decided[from] = state
+        return state
+    }
+
+    private fun merge(parts: Map<Int, LedgerExport>): LedgerExport =
+        LedgerExport(parts.values.flatMap { it.issuers }.distinct(), parts.values.flatMap { it.keys })
+}
+
+private const val MAX_MOVES: Int = 16
--- /dev/null
+++ b/coordination/src/test/kotlin/pistachiopass/booking/BookingHistoryTest.kt
@@ -0,0 +1,162 @@
+/**
+ * Histories of concurrent bookings under kills, pauses, cuts and planned stops, checked against the service's record.
+ *
+ * The checker is first shown to find the faults of two deliberately wrong variants. `-Dbooking.seeds=n` runs more.
+ */
+package pistachiopass.booking
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.joinAll
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.runTest
+import kotlinx.coroutines.test.testTimeSource
+import pistachiopass.model.DataCentreId
+import pistachiopass.model.Instance
+import pistachiopass.model.InstanceId
+import pistachiopass.model.InstanceState
+import pistachiopass.model.Verdict
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertNotNull
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.minutes
+
+class BookingHistoryTest {
+    @Test
+    fun `no history has a booking that ran twice or a false refusal`() {
+        val seeds = 1..(System.getProperty("booking.seeds")?.toInt() ?: CI_SEEDS)
+        val results = seeds.map { Run(it, Variant("right")).result() }
+        println("seeds $seeds: ${results.joinToString("\n", limit = 8)}")
+        assertEquals(emptyList(), results.filter { it.faults.isNotEmpty() })
+        assertTrue(results.sumOf { it.ran } > results.size, "too few bookings ran to prove anything")
+        assertTrue(results.sumOf { it.notRun } > results.size, "too few refusals to prove anything")
+        assertEquals(MoveOutcome.entries.toSet(), results.flatMap { it.moves }.toSet())
+    }
+
+    @Test
+    fun `a sender that sends again after a send is found out`() {
+        assertFoundOut(Variant("sends again", sendsAfterSend = true))
+    }
+
+    @Test
+    fun `a move to a second successor is found out`() {
+        assertFoundOut(Variant("two successors", successorRule = { it != MoveState.ADOPTED }))
+    }
+
+    private fun assertFoundOut(variant: Variant) {
+        val faulty = (1..CI_SEEDS).asSequence().map { Run(it, variant).result() }.firstOrNull { it.faults.isNotEmpty() }
+        println("variant '${variant.name}': $faulty")
+        assertNotNull(faulty, "no seed of 1..$CI_SEEDS showed the fault of '${variant.name}'")
+    }
+}
+
+private data class RunResult(
+    val seed: Int,
+    val faults: List<String>,
+    val ran: Int,
+    val notRun: Int,
+    val mayHaveRun: Int,
+    val moves: List<MoveOutcome>,
+)
+
+private class Run(private val seed: Int, private val variant: Variant) {
+    private val random = Random(seed)
+    private val history = History()
+    private val calmMillis = if (seed % 2 == 0) BUSY_MILLIS else CALM_MILLIS
+    private lateinit var fleet: Fleet
+
+    @OptIn(ExperimentalCoroutinesApi::class)
+    fun result(): RunResult {
+        runTest(timeout = 5.minutes) {
+            fleet = Fleet(backgroundScope, testTimeSource, random, variant)
+            INSTANCES.forEach(fleet::start)
+            fleet.published.value = fleet.list()
+            backgroundScope.launch { publish() }
+            repeat(FAULT_ACTORS) { backgroundScope.launch { breakThings(backgroundScope) } }
+            (1..CALLERS).map { launch { Caller(fleet, "caller$it", history).run() } }.joinAll()
+            delay(QUIET_MILLIS)
+        }
+        return RunResult(
+            seed,
+            history.faults(fleet.service),
+            history.count(Verdict.RAN),
+            history.count(Verdict.NOT_RUN),
+            history.count(Verdict.MAY_HAVE_RUN),
+            fleet.moves,
+        )
+    }
+
+    /** The published list lags. */
+    private suspend fun publish() {
+        while (true) {
+            delay(random.nextLong(4_000))
+            fleet.published.value = fleet.list()
+        }
+    }
+
+    private suspend fun breakThings(scope: CoroutineScope) {
+        while (true) {
+            delay(random.nextLong(calmMillis))
+            val node = fleet.randomNode()
+            when (random.nextInt(FAULT_CASES)) {
+                0 -> restart(node) { node.kill() }
+                1, 2 -> scope.launch { pause(node) }
+                3 -> scope.launch { cut(setOf(node.identity.instance, fleet.randomNode().identity.instance)) }
+                4 -> scope.launch { cutDataCentre(node.identity.dataCentre) }
+                else -> if (!node.isStopping) scope.launch { stop(node) }
+            }
+        }
+    }
+
+    private suspend fun stop(node: Node) {
+        node.stop()
+        delay(random.nextLong(1_500))
+        if (fleet.nodes[node.identity.instance] === node) restart(node) { node.kill() }
+    }
+
+    private suspend fun restart(node: Node, end: () -> Unit) {
+        end()
+        delay(random.nextLong(2_000))
+        if (fleet.nodes[node.identity.instance] === node) {
+            fleet.start(node.identity.instance, node.identity.dataCentre)
+        }
+    }
+
+    private suspend fun pause(node: Node) {
+        node.awake.value = false
+        delay(random.nextLong(8_000))
+        node.awake.value = true
+    }
+
+    private suspend fun cut(pair: Set<InstanceId>) {
+        fleet.cuts += pair
+        delay(random.nextLong(5_000))
+        fleet.cuts -= pair
+    }
+
+    private suspend fun cutDataCentre(dataCentre: DataCentreId) {
+        val (inside, outside) = INSTANCES.entries.partition { it.value == dataCentre }
+        val pairs = inside.flatMap { a -> outside.map { b -> setOf(a.key, b.key) } }.toSet()
+        fleet.cuts += pairs
+        delay(random.nextLong(6_000))
+        fleet.cuts -= pairs
+    }
+
+    private fun Fleet.list(): List<Instance> = nodes.values.sortedBy { it.identity.instance }.map {
+        val state = if (it.isStopping) InstanceState.LEAVING else InstanceState.LIVE
+        Instance(it.identity.instance, it.identity.dataCentre, "", "", state)
+    }
+}
+
+private val INSTANCES: Map<InstanceId, DataCentreId> =
+    listOf("a", "b").flatMap { dc -> (1..3).map { InstanceId("$dc$it") to DataCentreId(dc) } }.toMap()
+private const val CI_SEEDS = 60
+private const val CALLERS = 8
+private const val FAULT_ACTORS = 2
+private const val FAULT_CASES = 9
+private const val BUSY_MILLIS = 4_000L
+private const val CALM_MILLIS = 20_000L
+private const val QUIET_MILLIS = 15_000L
--- /dev/null
+++ b/coordination/src/test/kotlin/pistachiopass/booking/Simulation.kt
@@ -0,0 +1,307 @@
+/**
+ * A fleet in virtual time for histories of bookings: instances that are killed, paused, cut off and stopped, a network
+ * that delays and loses messages, and a service that keeps a record of what it ran.
+ */
+package pistachiopass.booking
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.get
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.flow.first
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import pistachiopass.model.DataCentreId
+import pistachiopass.model.Failure
+import pistachiopass.model.FailureCode
+import pistachiopass.model.Instance
+import pistachiopass.model.InstanceId
+import pistachiopass.model.RequestId
+import pistachiopass.model.StartId
+import pistachiopass.model.Verdict
+import pistachiopass.model.WorkspaceId
+import pistachiopass.peer.PeerFailure
+import pistachiopass.peer.PeerFailureCode
+import pistachiopass.peer.PeerHandler
+import pistachiopass.peer.PeerIdentity
+import pistachiopass.peer.PeerMessage
+import pistachiopass.peer.PeerTransport
+import pistachiopass.peer.ReceivedMessage
+import pistachiopass.peer.SendOutcome
+import pistachiopass.peer.startIdOf
+import kotlin.random.Random
+import kotlin.time.TimeSource
+
+/** What may be made wrong on purpose. */
+internal class Variant(
+    val name: String,
+    val sendsAfterSend: Boolean = false,
+    val successorRule: SuccessorRule = afterRefusal,
+)
+
+/** Holds the fleet of one history; everything random is drawn from [random]. */
+internal class Fleet(
+    val scope: CoroutineScope,
+    val clock: TimeSource.WithComparableMarks,
+    val random: Random,
+    val variant: Variant,
+) {
+    val service = RecordingService(scope, random)
+    val nodes = HashMap<InstanceId, Node>()
+    val cuts = HashSet<Set<InstanceId>>()
+    val published = MutableStateFlow(emptyList<Instance>())
+    val moves = ArrayList<MoveOutcome>()
+    val messages = HashMap<String, Int>()
+    private var lives = 0L
+
+    fun start(id: InstanceId, dataCentre: DataCentreId) {
+        nodes[id] = Node(this, PeerIdentity(id, dataCentre, startIdOf(++lives, random)))
+    }
+
+    fun randomNode(): Node = nodes.values.sortedBy { it.identity.instance }.random(random)
+
+    fun isCut(a: InstanceId, b: InstanceId): Boolean = setOf(a, b) in cuts
+}
+
+/** One life of an instance. */
+internal class Node(private val fleet: Fleet, val identity: PeerIdentity) {
+    private val job: Job = SupervisorJob(fleet.scope.coroutineContext[Job])
+    val scope = CoroutineScope(fleet.scope.coroutineContext + job)
+    val awake = MutableStateFlow(true)
+    val handlers = HashMap<String, PeerHandler>()
+    var isAlive = true
+    var isStopping = false
+
+    private val sender = BookingSender { key, request ->
+        awaitAwake()
+        val first = fleet.service.call(key, request)
+        awaitAwake()
+        if (fleet.variant.sendsAfterSend && first.verdict != Verdict.RAN) fleet.service.call(key, request) else first
+    }
+
+    val bookings: Bookings = bookingsOf(
+        BookingConfig(
+            sharedKey = ByteArray(32) { 3 },
+            transport = LossyTransport(fleet, this),
+            sender = sender,
+            instances = { fleet.published.value },
+            clock = fleet.clock,
+        ),
+        scope,
+        successorRule = fleet.variant.successorRule,
+    )
+
+    suspend fun awaitAwake() {
+        awake.first { it }
+    }
+
+    fun kill() {
+        isAlive = false
+        scope.cancel()
+    }
+
+    suspend fun stop() {
+        isStopping = true
+        scope.launch { fleet.moves += bookings.stop(drainMillis = 3_000, moveMillis = 8_000) }.join()
+    }
+}
+
+private class LossyTransport(private val fleet: Fleet, private val node: Node) : PeerTransport {
+    override val self: PeerIdentity = node.identity
+
+    override fun register(typeName: String, handler: PeerHandler) {
+        node.handlers[typeName] = handler
+    }
+
+    override suspend fun send(to: InstanceId, message: PeerMessage, startId: StartId?): SendOutcome {
+        call(to, message, timeoutMillis = 1, startId)
+        return SendOutcome.QUEUED
+    }
+
+    override suspend fun call(
+        to: InstanceId,
+        message: PeerMessage,
+        timeoutMillis: Long,
+        startId: StartId?,
+    ): Result<PeerMessage, PeerFailure> {
+        fleet.messages.merge(message.typeName, 1, Int::plus)
+        val response = CompletableDeferred<Result<PeerMessage, PeerFailure>>()
+        fleet.scope.launch { deliver(to, message, startId, response) }
+        val result = withTimeoutOrNull(timeoutMillis) { response.await() }
+        node.awaitAwake()
+        return result ?: failure(PeerFailureCode.TIMEOUT, Verdict.MAY_HAVE_RUN)
+    }
+
+    /** A message may be handled long after its sender has given up. */
+    private suspend fun deliver(
+        to: InstanceId,
+        message: PeerMessage,
+        startId: StartId?,
+        response: CompletableDeferred<Result<PeerMessage, PeerFailure>>,
+    ) {
+        delay(latencyMillis())
+        val target = fleet.nodes[to]
+        when {
+            fleet.isCut(self.instance, to) || target == null || !target.isAlive ->
+                response.complete(failure(PeerFailureCode.UNREACHABLE, Verdict.NOT_RUN))
+            fleet.random.nextInt(LOSS) == 0 -> response.complete(lost())
+            startId != null && startId != target.identity.startId ->
+                response.complete(failure(PeerFailureCode.OTHER_LIFE, Verdict.NOT_RUN))
+            else -> target.scope.launch { response.complete(handled(target, message)) }
+        }
+    }
+
+    private suspend fun handled(target: Node, message: PeerMessage): Result<PeerMessage, PeerFailure> {
+        target.awaitAwake()
+        val handler = target.handlers.getValue(message.typeName)
+        val reply = try {
+            handler.handle(ReceivedMessage(self, message))
+        } catch (_: IllegalStateException) {
+            null
+        }
+        target.awaitAwake()
+        delay(latencyMillis())
+        val isLost = fleet.isCut(self.instance, target.identity.instance) || fleet.random.nextInt(LOSS) == 0
+        return if (isLost || reply == null) lost() else Ok(reply)
+    }
+
+    private fun latencyMillis(): Long =
+        if (fleet.random.nextInt(SLOW) == 0) fleet.random.nextLong(9_000) else fleet.random.nextLong(1, 5)
+
+    private fun lost() = failure(PeerFailureCode.CONNECTION_LOST, Verdict.MAY_HAVE_RUN)
+
+    private fun failure(code: PeerFailureCode, verdict: Verdict) = Err(PeerFailure(code, verdict, "simulated"))
+}
+
+/** Runs bookings, or fails in one of the ways in which a service can fail, and counts the runs. */
+internal class RecordingService(private val scope: CoroutineScope, private val random: Random) {
+    val runsByKey = HashMap<String, Int>()
+    val runsByBooking = HashMap<String, Int>()
+
+    suspend fun call(key: String, request: BookingRequest): BookingOutcome {
+        delay(random.nextLong(1, 20))
+        return when (random.nextInt(SERVICE_CASES)) {
+            0, 1 -> failed(FailureCode.NO_ENDPOINT, Verdict.NOT_RUN)
+            2 -> failed(FailureCode.ENDPOINT_FAILED, Verdict.MAY_HAVE_RUN)
+            3 -> failed(FailureCode.ENDPOINT_FAILED, Verdict.MAY_HAVE_RUN).also { run(key, request) }
+            4 -> {
+                scope.launch { delay(random.nextLong(6_000)).also { run(key, request) } }
+                delay(random.nextLong(3_000))
+                failed(FailureCode.TIMEOUT, Verdict.MAY_HAVE_RUN)
+            }
+            else -> {
+                run(key, request)
+                delay(if (random.nextInt(4) == 0) random.nextLong(4_000) else random.nextLong(50))
+                BookingOutcome.Answer(201, emptyList(), "answer ${random.nextInt()}".encodeToByteArray())
+            }
+        }
+    }
+
+    private fun run(key: String, request: BookingRequest) {
+        runsByKey.merge(key, 1, Int::plus)
+        runsByBooking.merge(request.body.decodeToString(), 1, Int::plus)
+    }
+
+    private fun failed(code: FailureCode, verdict: Verdict): BookingOutcome =
+        BookingOutcome.Failed(Failure(code, verdict, "simulated"))
+}
+
+/** Makes bookings as callers do and keeps what they were told. */
+internal class Caller(private val fleet: Fleet, private val name: String, private val history: History) {
+    suspend fun run() {
+        repeat(BOOKINGS) {
+            delay(fleet.random.nextLong(3_000))
+            book("$name-$it")
+        }
+    }
+
+    private suspend fun book(booking: String) {
+        var key = newKeyOrNull()
+        delay(fleet.random.nextLong(MAX_THINK_MILLIS))
+        repeat(ATTEMPTS) {
+            val used = key ?: return
+            val outcomes = attempts(used, booking).onEach { history.add(used, it) }
+            if (outcomes.any { it.verdict == Verdict.RAN }) return
+            if (outcomes.any { it.verdict == Verdict.NOT_RUN }) key = newKeyOrNull()
+            delay(fleet.random.nextLong(2_000))
+        }
+    }
+
+    /** Sends the booking to one instance or, now and then, to two at the same time. */
+    private suspend fun attempts(key: String, booking: String): List<BookingOutcome> = coroutineScope {
+        val count = if (fleet.random.nextInt(3) == 0) 2 else 1
+        (1..count).map { async { attempt(key, booking) } }.awaitAll()
+    }
+
+    private suspend fun newKeyOrNull(): String? = fleet.randomNode().let { node ->
+        node.awaitAwake()
+        node.bookings.issueKey().get()
+    }
+
+    /** An instance that dies with the request leaves the caller without an answer. */
+    private suspend fun attempt(key: String, booking: String): BookingOutcome {
+        val node = fleet.randomNode()
+        val answer = CompletableDeferred<BookingOutcome>()
+        val request = BookingRequest(
+            RequestId(booking),
+            WorkspaceId("w"),
+            method = "POST",
+            uri = "/pickups",
+            emptyList(),
+            booking.encodeToByteArray(),
+        )
+        node.scope.launch {
+            node.awaitAwake()
+            answer.complete(node.bookings.book(key, request, CALL_MILLIS))
+        }
+        return withTimeoutOrNull(PATIENCE_MILLIS) { answer.await() } ?: NO_ANSWER
+    }
+}
+
+/** Collects what callers were told about each key. */
+internal class History {
+    private val told = HashMap<String, MutableList<BookingOutcome>>()
+
+    fun add(key: String, outcome: BookingOutcome) {
+        told.getOrPut(key) { ArrayList() } += outcome
+    }
+
+    fun count(verdict: Verdict): Int = told.values.flatten().count { it.verdict == verdict }
+
+    /** Returns what is wrong with the history, given the record of [service]. */
+    fun faults(service: RecordingService): List<String> =
+        service.runsByKey.filterValues { it > 1 }.map { "key ran ${it.value} times" } +
+            service.runsByBooking.filterValues { it > 1 }.map { "booking ${it.key} ran ${it.value} times" } +
+            told.filter { (key, outcomes) -> isFalseNotRun(service, key, outcomes) }.map { "false 'not run'" } +
+            told.values.filter { outcomes -> answersOf(outcomes).distinct().size > 1 }.map { "two answers to a key" } +
+            told.filter { (key, outcomes) -> answersOf(outcomes).isNotEmpty() && key !in service.runsByKey }
+                .map { "an answer without a run" }
+
+    private fun isFalseNotRun(service: RecordingService, key: String, outcomes: List<BookingOutcome>): Boolean =
+        key in service.runsByKey && outcomes.any { it.verdict == Verdict.NOT_RUN }
+
+    private fun answersOf(outcomes: List<BookingOutcome>): List<String> =
+        outcomes.filterIsInstance<BookingOutcome.Answer>().map { it.body.decodeToString() }
+}
+
+internal val NO_ANSWER: BookingOutcome =
+    BookingOutcome.Failed(Failure(FailureCode.TIMEOUT, Verdict.MAY_HAVE_RUN, "the caller gave up"))
+
+private const val LOSS = 12
+private const val SLOW = 10
+private const val SERVICE_CASES = 12
+private const val MAX_THINK_MILLIS = 4_000L
+private const val BOOKINGS = 8
+private const val ATTEMPTS = 6
+private const val CALL_MILLIS = 4_000L
+private const val PATIENCE_MILLIS = 5_000L
