--- a/standins/src/main/kotlin/pistachiopass/standins/Main.kt
+++ b/standins/src/main/kotlin/pistachiopass/standins/Main.kt
@@ -4,6 +4,8 @@
 import kotlinx.cli.ArgParser
 import kotlinx.cli.ExperimentalCli
 import kotlinx.cli.Subcommand
+import pistachiopass.standins.load.CompareCommand
+import pistachiopass.standins.load.LoadCommand
 import pistachiopass.standins.plain.PlainCommand
 import pistachiopass.standins.platform.PlatformCommand
 
@@ -21,4 +23,6 @@
     listOf(
         PlatformCommand(),
         PlainCommand(),
+        LoadCommand(),
+        CompareCommand(),
     )
