--- /dev/null
+++ b/entry/src/main/kotlin/pistachiopass/entry/filter/ForwardHandler.kt
@@ -0,0 +1,85 @@
+/** Sends each request to an endpoint and passes the answer on to the caller. */
+package pistachiopass.entry.filter
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.andThen
+import com.github.michaelbull.result.mapBoth
+import io.ktor.client.request.HttpRequestBuilder
+import io.ktor.client.request.header
+import io.ktor.client.request.setBody
+import io.ktor.http.ContentType
+import io.ktor.http.HttpHeaders
+import io.ktor.http.contentType
+import kotlinx.coroutines.NonCancellable
+import kotlinx.coroutines.withContext
+import pistachiopass.entry.endpoint.EndpointClient
+import pistachiopass.entry.http.Completion
+import pistachiopass.entry.http.Handler
+import pistachiopass.entry.http.IDEMPOTENCY_KEY_HEADER
+import pistachiopass.entry.http.RequestContext
+import pistachiopass.entry.http.requireBody
+import pistachiopass.entry.http.requireFacts
+import pistachiopass.entry.http.requireTarget
+import pistachiopass.entry.placement.Allocation
+import pistachiopass.entry.placement.CapacityAllocator
+import pistachiopass.entry.stream.AnswerRelay
+import pistachiopass.model.Failure
+import pistachiopass.model.FailureCode
+import pistachiopass.model.PoolKind
+import pistachiopass.model.REMAINING_MILLIS_HEADER
+import pistachiopass.model.REQUEST_ID_HEADER
+import pistachiopass.model.Verdict
+
+/** Allocates room with [allocator] and sends through [client]. */
+public class ForwardHandler(
+    private val allocator: CapacityAllocator,
+    private val client: EndpointClient,
+) : Handler {
+    override suspend fun handle(context: RequestContext): Result<Completion, Failure> =
+        allocator.allocate(context.exchange.requestId, context.requireFacts(), context.requireTarget())
+            .andThen { allocation -> forwardAndRelease(context, allocation) }
+
+    private suspend fun forwardAndRelease(
+        context: RequestContext,
+        allocation: Allocation,
+    ): Result<Completion, Failure> {
+        var ended = false
+        try {
+            val outcome = forward(context, allocation)
+            ended = outcome.mapBoth({ true }, { it.verdict == Verdict.NOT_RUN })
+            return outcome
+        } finally {
+            withContext(NonCancellable) { allocation.release(ended || cancel(context, allocation)) }
+        }
+    }
+
+    private suspend fun cancel(context: RequestContext, allocation: Allocation): Boolean =
+        context.requireTarget().pool.kind == PoolKind.PLAIN || client.cancel(allocation.endpoint, allocation.leaseId)
+
+    private suspend fun forward(context: RequestContext, allocation: Allocation): Result<Completion, Failure> {
+        if (!allocation.isValid()) {
+            return Err(notRun(FailureCode.OVERLOADED, "the lease ran out before the request was sent", RETRY_MILLIS))
+        }
+        val relay = AnswerRelay(context.exchange, allocation.endpoint.id, context.requireTarget().deadline)
+        return client.exchange(
+            endpoint = allocation.endpoint,
+            uri = context.exchange.head.uri,
+            build = { copyFrom(context, allocation) },
+            receive = relay::relay,
+        )
+    }
+
+    private fun HttpRequestBuilder.copyFrom(context: RequestContext, allocation: Allocation) {
+        val head = context.exchange.head
+        method = head.method
+        head.headers[HttpHeaders.ContentType]?.let { contentType(ContentType.parse(it)) }
+        FORWARDED_HEADERS.forEach { name -> head.headers[name]?.let { header(name, it) } }
+        header(REQUEST_ID_HEADER, allocation.leaseId.value)
+        header(REMAINING_MILLIS_HEADER, -context.requireTarget().deadline.elapsedNow().inWholeMilliseconds)
+        setBody(context.requireBody().bytes)
+    }
+}
+
+private val FORWARDED_HEADERS: List<String> = listOf(HttpHeaders.Accept, IDEMPOTENCY_KEY_HEADER)
+private const val RETRY_MILLIS: Long = 1_000
--- /dev/null
+++ b/entry/src/main/kotlin/pistachiopass/entry/peer/PeerEvents.kt
@@ -0,0 +1,67 @@
+/** Log lines and counters of the peer protocol. */
+package pistachiopass.entry.peer
+
+import pistachiopass.entry.logging.Event
+import pistachiopass.entry.logging.EventField
+import pistachiopass.entry.logging.EventLog
+import pistachiopass.entry.logging.field
+import pistachiopass.entry.logging.log
+import pistachiopass.entry.logging.tokenField
+import pistachiopass.entry.metrics.Direction
+import pistachiopass.entry.metrics.PeerEvent
+import pistachiopass.entry.metrics.PeerMetrics
+import pistachiopass.model.InstanceId
+import pistachiopass.peer.PeerIdentity
+import pistachiopass.peer.PeerMessage
+
+/** Counts events in [metrics] and writes those that concern a connection to [log]. */
+internal class PeerEvents(private val metrics: PeerMetrics, private val log: EventLog) {
+    /** Counts [event] without a log line. */
+    fun count(event: PeerEvent) = metrics.event(event)
+
+    /** Counts a message that was queued for a peer or handed to a handler. */
+    fun message(direction: Direction, message: PeerMessage) = metrics.message(direction, message.typeName)
+
+    /** Records that this process accepts peers on [port] and draws the jitter of reconnects from [backoffSeed]. */
+    fun listening(self: PeerIdentity, port: Int, backoffSeed: Long) {
+        log.log(
+            Event.PEER_LISTENING,
+            field("instance", self.instance),
+            field("startId", self.startId),
+            field("port", port),
+            field("backoffSeed", backoffSeed),
+        )
+    }
+
+    /** Records a proven connection that this side opened ([PeerEvent.CONNECTED]) or accepted. */
+    fun connected(event: PeerEvent, peer: PeerIdentity) {
+        count(event)
+        log.log(Event.PEER_CONNECTED, peer(peer.instance), field("startId", peer.startId), field("side", event))
+    }
+
+    /** Records the end of a connection that was recorded with [event]. */
+    fun lost(event: PeerEvent, peer: PeerIdentity, cause: FrameError) {
+        count(PeerEvent.DISCONNECTED)
+        log.log(Event.PEER_LOST, peer(peer.instance), field("side", event), field("cause", cause))
+    }
+
+    /** Records a failed attempt to connect. */
+    fun unreachable(peer: InstanceId, cause: EventField) {
+        count(PeerEvent.CONNECT_FAILED)
+        log.log(Event.PEER_UNREACHABLE, peer(peer), cause)
+    }
+
+    /** Records a connection that was refused. */
+    fun refused(cause: HandshakeError) {
+        count(PeerEvent.REFUSED)
+        log.log(Event.PEER_REFUSED, field("cause", cause))
+    }
+
+    /** Records the failure of a handler. */
+    fun handlerFailed(peer: InstanceId, message: PeerMessage, cause: Throwable) {
+        count(PeerEvent.HANDLER_FAILED)
+        log.log(Event.PEER_HANDLER_FAILED, peer(peer), tokenField("kind", message.typeName), field("cause", cause))
+    }
+
+    private fun peer(id: InstanceId): EventField = field("peer", id)
+}
--- a/standins/src/main/kotlin/pistachiopass/standins/Main.kt
+++ b/standins/src/main/kotlin/pistachiopass/standins/Main.kt
@@ -4,6 +4,7 @@
 import kotlinx.cli.ArgParser
 import kotlinx.cli.ExperimentalCli
 import kotlinx.cli.Subcommand
+import pistachiopass.standins.engine.EngineCommand
 import pistachiopass.standins.load.CompareCommand
 import pistachiopass.standins.load.LoadCommand
 import pistachiopass.standins.plain.PlainCommand
@@ -25,4 +26,5 @@
         PlainCommand(),
         LoadCommand(),
         CompareCommand(),
+        EngineCommand(),
     )
