Bring the table checks under detekt's default rules

Cause: the merged checks had 17 findings, so that the workspace did not build whole. Change: shorter functions and lines; behaviour as before.

--- a/coordination/src/main/kotlin/pistachiopass/tables/CheckRules.kt
+++ b/coordination/src/main/kotlin/pistachiopass/tables/CheckRules.kt
@@ -24,6 +24,10 @@
         listOf(error("\"$value\"", "a name without spaces around it"))
     }
 
+/** Returns an error unless [value] can begin the path of a request. */
+internal fun Place.path(value: String): List<Problem> =
+    if (value.startsWith("/")) emptyList() else listOf(error("\"$value\"", "a path that begins with /"))
+
 /** Returns an error unless [value] is a host or IP number and a port. */
 internal fun Place.address(value: String): List<Problem> =
     if (isAddress(value)) {
@@ -48,7 +52,8 @@
     }
 }
 
-private fun isAddress(value: String): Boolean {
+/** Returns whether [value] is a host or IP number and a port. */
+public fun isAddress(value: String): Boolean {
     val host = value.substringBeforeLast(':', "")
     val port = value.substringAfterLast(':')
     val portFits = port.length <= PORT_DIGITS && port.all { it in '0'..'9' } && port.toIntOrNull() in PORTS
--- a/coordination/src/main/kotlin/pistachiopass/tables/InstancesCheck.kt
+++ b/coordination/src/main/kotlin/pistachiopass/tables/InstancesCheck.kt
@@ -10,7 +10,7 @@
     val instances = list.instances
     val all = Place(DocumentName.INSTANCES).field("instances")
     val ids = instances.duplicates({ it.id }) { index, instance -> instancePlace(index, instance).field("id") }
-    val addresses = addressesOf(list).duplicates({ it.second }) { _, (place, _) -> place }
+    val addresses = addressesOf(list).duplicates({ it.value }) { _, placed -> placed.place }
     val noneLive = instances.none { it.state == InstanceState.LIVE }
     return ids + addresses +
         instances.flatMapIndexed { index, instance -> instanceProblems(instancePlace(index, instance), instance) } +
@@ -23,12 +23,12 @@
 ): Place = Place(DocumentName.INSTANCES).field("instances").element(index, instance.id.value)
 
 /** Returns each address of the instances with its place. */
-internal fun addressesOf(list: InstanceList): List<Pair<Place, String>> =
+internal fun addressesOf(list: InstanceList): List<Placed<String>> =
     list.instances.flatMapIndexed { index, instance ->
         val place = instancePlace(index, instance)
         listOf(
-            place.field("httpAddress") to instance.httpAddress,
-            place.field("peerAddress") to instance.peerAddress,
+            Placed(place.field("httpAddress"), instance.httpAddress),
+            Placed(place.field("peerAddress"), instance.peerAddress),
         )
     }
 
--- a/coordination/src/main/kotlin/pistachiopass/tables/PoolsCheck.kt
+++ b/coordination/src/main/kotlin/pistachiopass/tables/PoolsCheck.kt
@@ -25,9 +25,13 @@
     pool: Pool,
 ): List<Problem> {
     val endpoints = place.field("endpoints")
-    val empty = if (pool.endpoints.isEmpty()) listOf(
-        endpoints.warning("none", "at least one endpoint")
-    ) else emptyList()
+    val empty = if (pool.endpoints.isEmpty()) {
+        listOf(
+            endpoints.warning("none", "at least one endpoint")
+        )
+    } else {
+        emptyList()
+    }
     return place.field("name").name(pool.name.value) +
         empty +
         pool.endpoints.flatMapIndexed { index, endpoint ->
@@ -59,27 +63,25 @@
     value: Long,
 ): List<Problem> = if (kind == PoolKind.MODEL) positive(value) else notNegative(value)
 
-private data class PlacedEndpoint(val place: Place, val endpoint: Endpoint)
-
 /** An id must be unique over all pools, and so must an address: both stand for one budget. */
 private fun endpointDuplicates(table: PoolsTable): List<Problem> {
     val endpoints =
         table.pools.flatMapIndexed { poolIndex, pool ->
             pool.endpoints.mapIndexed { index, endpoint ->
                 val list = poolPlace(poolIndex, pool).field("endpoints")
-                PlacedEndpoint(list.element(index, endpoint.id.value), endpoint)
+                Placed(list.element(index, endpoint.id.value), endpoint)
             }
         }
-    val ids = endpoints.duplicates({ it.endpoint.id }) { _, placed -> placed.place.field("id") }
-    val differences = endpoints.groupBy { it.endpoint.id }.values.flatMap(::differenceProblems)
+    val ids = endpoints.duplicates({ it.value.id }) { _, placed -> placed.place.field("id") }
+    val differences = endpoints.groupBy { it.value.id }.values.flatMap(::differenceProblems)
     val addresses =
-        endpoints.distinctBy { it.endpoint.id }
-            .duplicates({ it.endpoint.address }) { _, placed -> placed.place.field("address") }
+        endpoints.distinctBy { it.value.id }
+            .duplicates({ it.value.address }) { _, placed -> placed.place.field("address") }
     return ids + differences + addresses
 }
 
-private fun differenceProblems(sameId: List<PlacedEndpoint>): List<Problem> {
-    val first = sameId.first().endpoint
+private fun differenceProblems(sameId: List<Placed<Endpoint>>): List<Problem> {
+    val first = sameId.first().value
     return sameId.drop(1).flatMap { (place, endpoint) ->
         listOfNotNull(
             place.field("dataCentre").error(endpoint.dataCentre, "${first.dataCentre}, as stated before for this id")
@@ -97,10 +99,12 @@
     val unknown =
         table.dataCentresOut.withIndex()
             .filter { it.value !in known }
-            .map { out.element(
-                it.index,
-                null
-            ).error(it.value, "the data centre of an endpoint: ${known.joinToString()}") }
+            .map {
+                out.element(
+                    it.index,
+                    null
+                ).error(it.value, "the data centre of an endpoint: ${known.joinToString()}")
+            }
     val all = known.isNotEmpty() && table.dataCentresOut.containsAll(known)
     val everyOne = out.warning(table.dataCentresOut.joinToString(), "at least one data centre in service")
     return unknown + listOfNotNull(everyOne.takeIf { all })
--- a/coordination/src/main/kotlin/pistachiopass/tables/Problem.kt
+++ b/coordination/src/main/kotlin/pistachiopass/tables/Problem.kt
@@ -62,6 +62,9 @@
 /** Returns whether one of the problems keeps its document from being accepted. */
 public fun List<Problem>.hasErrors(): Boolean = any { it.severity == Severity.ERROR }
 
+/** Holds a value together with its place. */
+internal data class Placed<out T>(val place: Place, val value: T)
+
 /** Points at one place of a document. */
 internal data class Place(
     val document: DocumentName,
--- a/coordination/src/main/kotlin/pistachiopass/tables/RoutesCheck.kt
+++ b/coordination/src/main/kotlin/pistachiopass/tables/RoutesCheck.kt
@@ -9,7 +9,9 @@
 public fun checkRoutesTable(table: RoutesTable): List<Problem> {
     val routes = table.routes
     val names = routes.duplicates({ it.name }) { index, route -> routePlace(index, route).field("name") }
-    return names + routes.flatMapIndexed { index, route -> routeProblems(index, route) + overlapProblems(routes, index) }
+    return names + routes.flatMapIndexed { index, route ->
+        routeProblems(index, route) + overlapProblems(routes, index)
+    }
 }
 
 internal fun routePlace(
@@ -23,10 +25,9 @@
 ): List<Problem> {
     val place = routePlace(index, route)
     val match = place.field("match")
-    val prefix = route.match.pathPrefix
     return place.field("name").name(route.name.value) +
         place.field("pool").name(route.pool.value) +
-        (if (prefix.startsWith("/")) emptyList() else listOf(match.field("pathPrefix").error("\"$prefix\"", "a path that begins with /"))) +
+        match.field("pathPrefix").path(route.match.pathPrefix) +
         (route.match.model?.let { match.field("model").name(it.value) }.orEmpty()) +
         (route.match.workspace?.let { match.field("workspace").name(it.value) }.orEmpty()) +
         place.field("timeoutMillis").positive(route.timeoutMillis) +
--- a/coordination/src/main/kotlin/pistachiopass/tables/SerialQueue.kt
+++ b/coordination/src/main/kotlin/pistachiopass/tables/SerialQueue.kt
@@ -1,4 +1,4 @@
-/** A queue of calls that run one after the other in the order in which they were added, on the threads that drain it. */
+/** A queue of calls that run one after the other, in the order in which they were added, on the draining threads. */
 package pistachiopass.tables
 
 import java.util.concurrent.ConcurrentLinkedQueue
--- a/coordination/src/main/kotlin/pistachiopass/tables/ShapeCheck.kt
+++ b/coordination/src/main/kotlin/pistachiopass/tables/ShapeCheck.kt
@@ -77,26 +77,29 @@
     descriptor: SerialDescriptor,
     place: Place,
 ): List<Problem> {
-    val kind = descriptor.kind
-    val expected =
-        when (kind) {
-            SerialKind.ENUM -> "one of ${descriptor.elementNames.joinToString()}"
-            PrimitiveKind.STRING -> "a text"
-            PrimitiveKind.BOOLEAN -> "true or false"
-            else -> "a whole number that fits its field"
-        }
-    val fits =
-        element is JsonPrimitive && element !is JsonNull &&
-            when (kind) {
-                SerialKind.ENUM -> element.isString && element.content in descriptor.elementNames
-                PrimitiveKind.STRING -> element.isString
-                PrimitiveKind.BOOLEAN -> !element.isString && element.booleanOrNull != null
-                PrimitiveKind.INT -> !element.isString && element.intOrNull != null
-                else -> !element.isString && element.longOrNull != null
-            }
-    return if (fits) emptyList() else listOf(place.error(element.short(), expected))
+    val fits = element is JsonPrimitive && element !is JsonNull && element.fits(descriptor)
+    return if (fits) emptyList() else listOf(place.error(element.short(), descriptor.expectation()))
 }
 
+@OptIn(ExperimentalSerializationApi::class)
+private fun SerialDescriptor.expectation(): String =
+    when (kind) {
+        SerialKind.ENUM -> "one of ${elementNames.joinToString()}"
+        PrimitiveKind.STRING -> "a text"
+        PrimitiveKind.BOOLEAN -> "true or false"
+        else -> "a whole number that fits its field"
+    }
+
+@OptIn(ExperimentalSerializationApi::class)
+private fun JsonPrimitive.fits(descriptor: SerialDescriptor): Boolean =
+    when (descriptor.kind) {
+        SerialKind.ENUM -> isString && content in descriptor.elementNames
+        PrimitiveKind.STRING -> isString
+        PrimitiveKind.BOOLEAN -> !isString && booleanOrNull != null
+        PrimitiveKind.INT -> !isString && intOrNull != null
+        else -> !isString && longOrNull != null
+    }
+
 private fun JsonElement.nameOrNull(): String? {
     val name = (this as? JsonObject)?.let { it["name"] ?: it["id"] }
     return (name as? JsonPrimitive)?.takeIf { it.isString }?.content
--- a/coordination/src/main/kotlin/pistachiopass/tables/TablesInForce.kt
+++ b/coordination/src/main/kotlin/pistachiopass/tables/TablesInForce.kt
@@ -82,7 +82,6 @@
         Slot(DocumentName.POOLS, poolsCheck) { state, published -> state.copy(pools = published) }
     private val instances =
         Slot(DocumentName.INSTANCES, instancesCheck) { state, published -> state.copy(instances = published) }
-    private val slots = listOf(routes, pools, instances).associateBy { it.document }
     private val lock = Any()
     private val flow = MutableStateFlow(TablesState())
     private val listeners = CopyOnWriteArrayList<TablesListener>()
@@ -109,13 +108,13 @@
         value: JsonElement,
         confirmedAtMillis: Long,
     ): OfferOutcome {
-        val slot = slots.getValue(document)
+        val slot = slotOf(document)
         val outcome = synchronized(lock) { offerLocked(slot, version, value, confirmedAtMillis) }
         deliveries.drain()
         return outcome
     }
 
-    /** Notes that the platform held nothing above [version] at [confirmedAtMillis]; renews the age if it is in force. */
+    /** Notes that the platform held nothing above [version] at [confirmedAtMillis], and renews its age. */
     public fun confirm(
         document: DocumentName,
         version: TableVersion,
@@ -123,14 +122,14 @@
     ) {
         synchronized(lock) {
             val isInForce = version != TableVersion.NONE && version == flow.value.versionOf(document)
-            if (isInForce) slots.getValue(document).confirm(confirmedAtMillis)
+            if (isInForce) slotOf(document).confirm(confirmedAtMillis)
         }
     }
 
     /** Returns version, age and refused version of each document at [nowMillis]. */
     public fun statusAt(nowMillis: Long): List<TableStatus> =
         synchronized(lock) {
-            slots.values.map { slot ->
+            listOf(routes, pools, instances).map { slot ->
                 TableStatus(
                     name = slot.document.text,
                     version = flow.value.versionOf(slot.document),
@@ -140,6 +139,13 @@
             }
         }
 
+    private fun slotOf(document: DocumentName): Slot<*> =
+        when (document) {
+            DocumentName.ROUTES -> routes
+            DocumentName.POOLS -> pools
+            DocumentName.INSTANCES -> instances
+        }
+
     private fun offerLocked(
         slot: Slot<*>,
         version: TableVersion,
@@ -185,13 +191,14 @@
     ) {
         val next = changed.copy(openProblems = openProblemsOf(changed))
         flow.value = next
-        deliveries.add { listeners.forEach { it.onChange(document, next) } }
+        listeners.forEach { listener -> deliveries.add { listener.onChange(document, next) } }
     }
 }
 
 private fun openProblemsOf(state: TablesState): List<Problem> {
-    val routes = state.routes ?: return emptyList()
-    val pools = state.pools ?: return emptyList()
+    val routes = state.routes
+    val pools = state.pools
+    if (routes == null || pools == null) return emptyList()
     return checkBetween(routes.value, pools.value, state.instances?.value)
 }
 
