--- a/standins/src/main/kotlin/pistachiopass/standins/engine/EngineCommand.kt
+++ b/standins/src/main/kotlin/pistachiopass/standins/engine/EngineCommand.kt
@@ -6,6 +6,7 @@
 import kotlinx.cli.Subcommand
 import kotlinx.cli.default
 import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.IO_PARALLELISM_PROPERTY_NAME
 import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.runBlocking
@@ -80,6 +81,8 @@
     )
 
     override fun execute() {
+        // Each Ktor server keeps one thread of Dispatchers.IO in its selector.
+        System.setProperty(IO_PARALLELISM_PROPERTY_NAME, (IO_THREADS + count).toString())
         runBlocking(Dispatchers.Default) { serve() }
     }
 
@@ -126,6 +129,8 @@
         option(BooleanArgument, name, description = text).default(default)
 }
 
+private const val IO_THREADS: Int = 64
+
 /** Returns the id that lies [index] after [first]: `e7` is 6 after `e1`. */
 internal fun endpointIdAt(first: String, index: Int): String {
     val digits = first.takeLastWhile { it.isDigit() }
