Test backoff and calls that name an earlier life

Cause: the pauses of the backoff, and the accepting side's own check of the addressed life, were covered by no test; the calling side refuses such calls before they leave. Ruled out: testing the dispatcher alone, since the refusal on the wire is what the caller judges by. Change: BackoffTest on a clock that the test moves; a hand-made session that names an earlier and the present life.

--- /dev/null
+++ b/entry/src/test/kotlin/pistachiopass/entry/peer/BackoffTest.kt
@@ -0,0 +1,33 @@
+/** Checks the pauses between attempts to connect. */
+package pistachiopass.entry.peer
+
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertFalse
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.TestTimeSource
+
+class BackoffTest {
+    @Test
+    fun `pauses double up to the limit, with jitter, and start anew after a success`() {
+        val clock = TestTimeSource()
+        val backoff = Backoff(PeerLimits(backoffMinMillis = 100, backoffMaxMillis = 350), Random(SEED), clock)
+        assertFalse(backoff.isWaiting)
+        for (pauseMillis in listOf(100, 200, 350, 350)) {
+            backoff.onFailure()
+            clock += (pauseMillis / 2 - 1).milliseconds
+            assertTrue(backoff.isWaiting, "seed $SEED pause $pauseMillis")
+            clock += (pauseMillis - pauseMillis / 2 + 1).milliseconds
+            assertFalse(backoff.isWaiting, "seed $SEED pause $pauseMillis")
+        }
+        backoff.onFailure()
+        backoff.onSuccess()
+        assertFalse(backoff.isWaiting)
+        backoff.onFailure()
+        clock += 100.milliseconds
+        assertFalse(backoff.isWaiting)
+    }
+}
+
+private const val SEED = 5
--- a/entry/src/test/kotlin/pistachiopass/entry/peer/SocketPeerTransportTest.kt
+++ b/entry/src/test/kotlin/pistachiopass/entry/peer/SocketPeerTransportTest.kt
@@ -13,6 +13,7 @@
 import pistachiopass.model.InstanceId
 import pistachiopass.model.StartId
 import pistachiopass.model.Verdict
+import pistachiopass.peer.LifeRegistry
 import pistachiopass.peer.PeerFailureCode
 import pistachiopass.peer.PeerMessage
 import pistachiopass.peer.SendOutcome
@@ -181,6 +182,33 @@
         }
     }
 
+    @Test
+    fun `a call that names an earlier life of the server is refused by the server`() = runBlocking {
+        val server = server()
+        val caller = client().transport.self
+        KtorConnections().use { connections ->
+            val connection = connections.connect("127.0.0.1", checkNotNull(ports[server.id]))
+            val handshake = Handshake(caller, SHARED_KEY, LifeRegistry())
+            val channel = checkNotNull(handshake.connect(connection, server.id).get())
+            for ((callId, startId) in listOf(StartId("earlier"), server.startId).withIndex()) {
+                val call = Frame.Call(callId.toLong(), "echo", ByteArray(1), startId)
+                connection.write(channel.sealer.seal(encodeFrame(call)))
+            }
+            val reader = FrameReader(connection)
+            val frames = ArrayList<Frame>()
+            while (frames.size < 2) {
+                val sealed = checkNotNull(reader.read(limitBytes = 1_000).get())
+                val frame = channel.opener.openOrNull(sealed)?.let(::decodeFrameOrNull)
+                if (frame != Frame.KeepAlive) frames += checkNotNull(frame)
+            }
+            val refusal = frames.filterIsInstance<Frame.Refusal>().single()
+            assertEquals(0L to PeerFailureCode.OTHER_LIFE, refusal.callId to refusal.code)
+            assertEquals(1L, frames.filterIsInstance<Frame.Response>().single().callId)
+        }
+        assertEquals(1, server.count(PeerEvent.DROPPED_OTHER_LIFE))
+        assertEquals(listOf("c"), server.handled)
+    }
+
     @Test
     fun `an earlier life is refused once a newer one was seen`() = runBlocking {
         val server = server()
