Stall a peer's connection by a gate in the test instead of by kernel buffers

How much a kernel buffers is not the test's to know. Ruled out: a wrong verdict of the transport; waiting longer, which leaves the verdict to the clock. Change: the client's connections pass through a gate that stops taking bytes; the same assertions hold, over TCP and TLS. The transport takes its connections as a parameter.

--- a/entry/src/main/kotlin/pistachiopass/entry/peer/SocketPeerTransport.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/peer/SocketPeerTransport.kt
@@ -48,7 +48,10 @@
     metrics: Metrics,
     clock: TimeSource.WithComparableMarks = TimeSource.Monotonic,
     log: EventLog = EventLog,
-): SocketPeerTransport = SocketPeerTransport(config, metrics, clock, log)
+): SocketPeerTransport = SocketPeerTransport(config, metrics, clock, log, connectionsOf(config))
+
+internal fun connectionsOf(config: PeerConfig): ByteConnections =
+    config.tls?.let(::TlsConnections) ?: KtorConnections()
 
 /** Carries messages over one connection per peer and direction. */
 public class SocketPeerTransport internal constructor(
@@ -56,6 +59,7 @@
     metrics: Metrics,
     private val clock: TimeSource.WithComparableMarks,
     log: EventLog,
+    private val connections: ByteConnections,
 ) : PeerTransport, Closeable {
     override val self: PeerIdentity = config.self
 
@@ -64,7 +68,6 @@
     private val events: PeerEvents = PeerEvents(metrics.peers, log)
     private val lives: LifeRegistry = LifeRegistry()
     private val handshake: Handshake = Handshake(self, config.sharedKey, lives)
-    private val connections: ByteConnections = config.tls?.let(::TlsConnections) ?: KtorConnections()
     private val connector: PeerConnector = PeerConnector(connections, handshake, config.addresses, limits, events)
     private val dispatcher: PeerDispatcher = PeerDispatcher(self, lives, limits, events, scope)
     private val server: PeerServer = PeerServer(handshake, dispatcher, limits, clock, events)
--- a/entry/src/test/kotlin/pistachiopass/entry/peer/Peers.kt
+++ b/entry/src/test/kotlin/pistachiopass/entry/peer/Peers.kt
@@ -13,6 +13,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeout
+import pistachiopass.entry.logging.EventLog
 import pistachiopass.entry.metrics.PeerEvent
 import pistachiopass.entry.metrics.metricsOf
 import pistachiopass.model.DataCentreId
@@ -47,18 +48,16 @@
     val clock = TestTimeSource()
     private val metrics = metricsOf()
     val startId = startIdOf(startMillis, Random(SEED))
-    val transport = socketPeerTransportOf(
-        PeerConfig(
-            PeerIdentity(id, DataCentreId("dc1"), startId),
-            key,
-            addresses = { peer -> ports[peer]?.let { "127.0.0.1:$it" } },
-            limits,
-            tls,
-            backoffSeed = SEED.toLong(),
-        ),
-        metrics,
-        clock,
+    private val config = PeerConfig(
+        PeerIdentity(id, DataCentreId("dc1"), startId),
+        key,
+        addresses = { peer -> ports[peer]?.let { "127.0.0.1:$it" } },
+        limits,
+        tls,
+        backoffSeed = SEED.toLong(),
     )
+    val connections = StallableConnections(connectionsOf(config))
+    val transport = SocketPeerTransport(config, metrics, clock, EventLog, connections)
     val handled = CopyOnWriteArrayList<String>()
 
     /** Listens and answers calls of the type `echo` with their payload. */
@@ -84,6 +83,35 @@
     override fun close() = transport.close()
 }
 
+/** Connections whose writes take no more bytes after [stall], as those to a peer that reads nothing. */
+internal class StallableConnections(private val inner: ByteConnections) : ByteConnections by inner {
+    @Volatile
+    private var stalled: Boolean = false
+
+    fun stall() {
+        stalled = true
+    }
+
+    override suspend fun connect(host: String, port: Int): ByteConnection = Stallable(inner.connect(host, port))
+
+    private inner class Stallable(private val connection: ByteConnection) : ByteConnection by connection {
+        private val closed = CompletableDeferred<Unit>()
+
+        override suspend fun write(bytes: ByteArray) {
+            if (stalled) {
+                closed.await()
+                throw IOException("connection closed")
+            }
+            connection.write(bytes)
+        }
+
+        override fun close() {
+            closed.complete(Unit)
+            connection.close()
+        }
+    }
+}
+
 /** Passes bytes between its port and [targetPort]; [alter] sees each chunk and may change or, by null, swallow it. */
 internal class Relay(private val targetPort: Int) : Closeable {
     private val connections = KtorConnections()
@@ -159,6 +187,8 @@
     ports[stalled.instance] = fakeServer(connections, stalled) { isChecked.await() }
     Peer("c", ports, limits = limits, tls = tls).use { client ->
         val large = PeerMessage("echo", ByteArray(MEBIBYTE_BYTES - 100))
+        assertEquals(SendOutcome.QUEUED, client.transport.send(stalled.instance, large))
+        client.connections.stall()
         awaitUntil { client.transport.send(stalled.instance, large) == SendOutcome.QUEUE_FULL }
         val notices = client.echoesSent()
         val queued = async { client.call(stalled.instance) }
