--- a/coordination/src/main/kotlin/pistachiopass/tables/PoolsCheck.kt
+++ b/coordination/src/main/kotlin/pistachiopass/tables/PoolsCheck.kt
@@ -25,15 +25,9 @@
     pool: Pool,
 ): List<Problem> {
     val endpoints = place.field("endpoints")
-    val empty = if (pool.endpoints.isEmpty()) {
-        listOf(
-            endpoints.warning("none", "at least one endpoint")
-        )
-    } else {
-        emptyList()
-    }
+    val empty = endpoints.warning("none", "at least one endpoint").takeIf { pool.endpoints.isEmpty() }
     return place.field("name").name(pool.name.value) +
-        empty +
+        listOfNotNull(empty) +
         pool.endpoints.flatMapIndexed { index, endpoint ->
             endpointProblems(endpoints.element(index, endpoint.id.value), pool.kind, endpoint)
         }
@@ -96,15 +90,11 @@
 private fun outProblems(table: PoolsTable): List<Problem> {
     val known = table.pools.flatMap { it.endpoints }.mapTo(sortedSetOf<DataCentreId>()) { it.dataCentre }
     val out = Place(DocumentName.POOLS).field("dataCentresOut")
+    val expected = "a data centre with endpoints: ${known.joinToString()}"
     val unknown =
         table.dataCentresOut.withIndex()
             .filter { it.value !in known }
-            .map {
-                out.element(
-                    it.index,
-                    null
-                ).error(it.value, "the data centre of an endpoint: ${known.joinToString()}")
-            }
+            .map { out.element(it.index, null).error(it.value, expected) }
     val all = known.isNotEmpty() && table.dataCentresOut.containsAll(known)
     val everyOne = out.warning(table.dataCentresOut.joinToString(), "at least one data centre in service")
     return unknown + listOfNotNull(everyOne.takeIf { all })
--- a/coordination/src/main/kotlin/pistachiopass/tables/RoutesCheck.kt
+++ b/coordination/src/main/kotlin/pistachiopass/tables/RoutesCheck.kt
@@ -9,9 +9,8 @@
 public fun checkRoutesTable(table: RoutesTable): List<Problem> {
     val routes = table.routes
     val names = routes.duplicates({ it.name }) { index, route -> routePlace(index, route).field("name") }
-    return names + routes.flatMapIndexed { index, route ->
-        routeProblems(index, route) + overlapProblems(routes, index)
-    }
+    val each = routes.flatMapIndexed { index, route -> routeProblems(index, route) }
+    return names + each + routes.indices.flatMap { overlapProblems(routes, it) }
 }
 
 internal fun routePlace(
--- a/coordination/src/main/kotlin/pistachiopass/tables/TablesInForce.kt
+++ b/coordination/src/main/kotlin/pistachiopass/tables/TablesInForce.kt
@@ -114,7 +114,7 @@
         return outcome
     }
 
-    /** Notes that the platform held nothing above [version] at [confirmedAtMillis], and renews its age. */
+    /** Renews the age if [version] is in force; the platform held nothing above it at [confirmedAtMillis]. */
     public fun confirm(
         document: DocumentName,
         version: TableVersion,
@@ -196,10 +196,9 @@
 }
 
 private fun openProblemsOf(state: TablesState): List<Problem> {
-    val routes = state.routes
-    val pools = state.pools
-    if (routes == null || pools == null) return emptyList()
-    return checkBetween(routes.value, pools.value, state.instances?.value)
+    val routes = state.routes?.value
+    val pools = state.pools?.value
+    return if (routes == null || pools == null) emptyList() else checkBetween(routes, pools, state.instances?.value)
 }
 
 /** Holds what the controller knows of one document besides its state; guarded by the controller's lock. */
