Add pistachioctl with check, explain and status

Cause: operators check tables before they publish them and read what instances hold. Ruled out: kotlinx-cli's own end of a run, which prints mistakes to standard output and exits with 127.

--- a/ctl/src/main/kotlin/pistachiopass/ctl/Main.kt
+++ b/ctl/src/main/kotlin/pistachiopass/ctl/Main.kt
@@ -1,7 +1,9 @@
 /** Entry point of the operators' binary `pistachioctl`. */
 package pistachiopass.ctl
 
-/** Runs the subcommand that the first argument names. */
+import kotlin.system.exitProcess
+
+/** Runs the subcommand that the first argument names and ends the process with its exit code. */
 public fun main(args: Array<String>) {
-    println("pistachioctl: ${args.toList()}")
+    exitProcess(runCommandLine(args.toList(), Console(System.out, System.err)))
 }
