Relay streams in order, over breaks and silence, in bounded memory, and resume by event id

Cause: a broken or silent engine connection stranded the caller; late and doubled chunks passed through; the server's channels held up to a megabyte for a slow reader; finished streams held the engine's memory for its retention. Ruled out: the CIO server's response path, whose channels' bound of one megabyte is a constant of the library. Change: StreamPump with the sequencer, resumption at the engine within the deadline, an explicit error event at the end, WindowedBody served by Netty, a stall limit, event ids under a MAC and the resume filter, DELETE once an answer is delivered, cancellation when a caller hangs up, TLS towards callers where settings give keys.

--- a/coordination/src/main/kotlin/pistachiopass/model/Verdict.kt
+++ b/coordination/src/main/kotlin/pistachiopass/model/Verdict.kt
@@ -63,6 +63,10 @@
 
     @SerialName("timeout")
     TIMEOUT("timeout"),
+
+    /** The caller hung up or read nothing for too long; it appears in logs and metrics only. */
+    @SerialName("caller_gone")
+    CALLER_GONE("caller_gone"),
 }
 
 /**
--- a/coordination/src/main/kotlin/pistachiopass/routing/RequestFacts.kt
+++ b/coordination/src/main/kotlin/pistachiopass/routing/RequestFacts.kt
@@ -16,6 +16,8 @@
     val answerTokens: Long = 0,
     /** Digest of the first blocks of the prompt; requests that share it profit from the same prefix cache. */
     val prefixDigest: String = "",
+    /** Whether the answer is asked for as a stream of events. */
+    val streamed: Boolean = false,
 ) {
     /** Tokens of KV memory that the request may come to hold. */
     val tokens: Long get() = promptTokens + answerTokens
--- a/entry/src/main/kotlin/pistachiopass/entry/Daemon.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/Daemon.kt
@@ -17,9 +17,12 @@
 import pistachiopass.entry.endpoint.endpointClientOf
 import pistachiopass.entry.filter.BodyFilter
 import pistachiopass.entry.filter.ForwardHandler
+import pistachiopass.entry.filter.ResumeFilter
 import pistachiopass.entry.filter.RouteFilter
 import pistachiopass.entry.filter.StopFilter
 import pistachiopass.entry.http.AdminSource
+import pistachiopass.entry.http.HostPort
+import pistachiopass.entry.http.callerServerOf
 import pistachiopass.entry.http.endingIn
 import pistachiopass.entry.http.serveAdmin
 import pistachiopass.entry.http.serveCallers
@@ -33,12 +36,16 @@
 import pistachiopass.entry.platform.TablesController
 import pistachiopass.entry.platform.platformClientOf
 import pistachiopass.entry.settings.Settings
+import pistachiopass.entry.stream.AnswerRelay
+import pistachiopass.entry.stream.RelayLimits
 import pistachiopass.model.DataCentreId
 import pistachiopass.model.Endpoint
 import pistachiopass.model.StartId
 import pistachiopass.routing.affinityChooser
 import pistachiopass.status.InstanceStatus
+import pistachiopass.stream.eventIdsOf
 import pistachiopass.tables.tablesInForceOf
+import java.util.Base64
 import java.util.UUID
 import kotlin.time.TimeSource
 
@@ -53,6 +60,8 @@
     private val platform = platformClientOf(settings.platformAddress, settings.instance)
     private val client = endpointClientOf(settings.limits.readIdleMillis)
     private val loads = LoadController(client, ::endpoints)
+    private val limits = settings.limits
+    private val eventIds = eventIdsOf(Base64.getDecoder().decode(settings.sharedKey))
     private val stopFilter = StopFilter()
     private val servers = listOf(callerServer(), adminServer())
 
@@ -89,14 +98,15 @@
 
     private fun callerServer(): EmbeddedServer<*, *> {
         val allocator = BlindAllocator(settings.dataCentre, affinityChooser(), loads, ::dataCentresOut)
+        val relay = AnswerRelay(client, eventIds, RelayLimits(limits.readIdleMillis, limits.stallMillis))
         val filters = listOf(
             stopFilter,
-            BodyFilter(BodyReader(settings.limits.bodyBytes, memory)),
+            ResumeFilter(tables.state::value, eventIds, relay, client),
+            BodyFilter(BodyReader(limits.bodyBytes, memory)),
             RouteFilter(tables.state::value),
         )
-        val handler = filters.endingIn(ForwardHandler(allocator, client))
-        val address = HostPort(settings.httpAddress)
-        return embeddedServer(CIO, host = address.host, port = address.port) { serveCallers(handler) }
+        val handler = filters.endingIn(ForwardHandler(allocator, client, relay))
+        return callerServerOf(settings) { serveCallers(handler, limits.streamBufferBytes) }
     }
 
     private fun adminServer(): EmbeddedServer<*, *> {
@@ -136,11 +146,5 @@
     }
 }
 
-/** Splits `host:port`. */
-internal class HostPort(address: String) {
-    val host: String = address.substringBeforeLast(':')
-    val port: Int = address.substringAfterLast(':').toInt()
-}
-
 private const val SERVER_GRACE_MILLIS: Long = 500
 private const val IDLE_POLL_MILLIS: Long = 50
--- a/entry/src/main/kotlin/pistachiopass/entry/filter/BodyFilter.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/filter/BodyFilter.kt
@@ -43,6 +43,7 @@
                 promptTokens = chat.promptTokens,
                 answerTokens = chat.answerTokens,
                 prefixDigest = chat.prefixDigest,
+                streamed = chat.stream,
             )
         }
     }
--- a/entry/src/main/kotlin/pistachiopass/entry/filter/ForwardHandler.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/filter/ForwardHandler.kt
@@ -5,6 +5,7 @@
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.andThen
 import com.github.michaelbull.result.mapBoth
+import io.ktor.client.plugins.timeout
 import io.ktor.client.request.HttpRequestBuilder
 import io.ktor.client.request.header
 import io.ktor.client.request.setBody
@@ -24,17 +25,20 @@
 import pistachiopass.entry.placement.Allocation
 import pistachiopass.entry.placement.CapacityAllocator
 import pistachiopass.entry.stream.AnswerRelay
+import pistachiopass.entry.stream.AnswerSource
 import pistachiopass.model.Failure
 import pistachiopass.model.FailureCode
 import pistachiopass.model.PoolKind
 import pistachiopass.model.REMAINING_MILLIS_HEADER
 import pistachiopass.model.REQUEST_ID_HEADER
 import pistachiopass.model.Verdict
+import kotlin.time.Duration.Companion.milliseconds
 
 /** Allocates room with [allocator] and sends through [client]. */
 public class ForwardHandler(
     private val allocator: CapacityAllocator,
     private val client: EndpointClient,
+    private val relay: AnswerRelay,
 ) : Handler {
     override suspend fun handle(context: RequestContext): Result<Completion, Failure> =
         allocator.allocate(context.exchange.requestId, context.requireFacts(), context.requireTarget())
@@ -44,42 +48,56 @@
         context: RequestContext,
         allocation: Allocation,
     ): Result<Completion, Failure> {
-        var ended = false
+        var sent = true
         try {
             val outcome = forward(context, allocation)
-            ended = outcome.mapBoth({ true }, { it.verdict == Verdict.NOT_RUN })
+            sent = outcome.mapBoth({ true }, { it.verdict != Verdict.NOT_RUN })
             return outcome
         } finally {
-            withContext(NonCancellable) { allocation.release(ended || cancel(context, allocation)) }
+            withContext(NonCancellable) { allocation.release(!sent || freed(context, allocation)) }
         }
     }
 
-    private suspend fun cancel(context: RequestContext, allocation: Allocation): Boolean =
+    /** Frees what the engine still keeps for the request, answered or not, and returns whether it confirmed that. */
+    private suspend fun freed(context: RequestContext, allocation: Allocation): Boolean =
         context.requireTarget().pool.kind == PoolKind.PLAIN || client.cancel(allocation.endpoint, allocation.leaseId)
 
     private suspend fun forward(context: RequestContext, allocation: Allocation): Result<Completion, Failure> {
         if (!allocation.isValid()) {
             return Err(notRun(FailureCode.OVERLOADED, "the lease ran out before the request was sent", RETRY_MILLIS))
         }
-        val relay = AnswerRelay(context.exchange, allocation.endpoint.id, context.requireTarget().deadline)
+        val source = context.answerSource(allocation)
         return client.exchange(
             endpoint = allocation.endpoint,
             uri = context.exchange.head.uri,
             build = { copyFrom(context, allocation) },
-            receive = relay::relay,
+            receive = { response -> relay.relay(source, response) },
         )
     }
 
+    private fun RequestContext.answerSource(allocation: Allocation): AnswerSource {
+        val target = requireTarget()
+        val deadline = target.deadline - ERROR_EVENT_MILLIS.milliseconds
+        return AnswerSource(exchange, allocation.endpoint, allocation.leaseId, target.route.name, deadline)
+    }
+
     private fun HttpRequestBuilder.copyFrom(context: RequestContext, allocation: Allocation) {
         val head = context.exchange.head
         method = head.method
         head.headers[HttpHeaders.ContentType]?.let { contentType(ContentType.parse(it)) }
         FORWARDED_HEADERS.forEach { name -> head.headers[name]?.let { header(name, it) } }
         header(REQUEST_ID_HEADER, allocation.leaseId.value)
-        header(REMAINING_MILLIS_HEADER, -context.requireTarget().deadline.elapsedNow().inWholeMilliseconds)
+        val remainingMillis = -context.requireTarget().deadline.elapsedNow().inWholeMilliseconds
+        header(REMAINING_MILLIS_HEADER, remainingMillis)
+        if (!context.requireFacts().streamed) {
+            timeout { socketTimeoutMillis = remainingMillis.coerceAtLeast(1) }
+        }
         setBody(context.requireBody().bytes)
     }
 }
 
 private val FORWARDED_HEADERS: List<String> = listOf(HttpHeaders.Accept, IDEMPOTENCY_KEY_HEADER)
+
+/** Time before the deadline that is left for telling the caller of it. */
+private const val ERROR_EVENT_MILLIS: Long = 200
 private const val RETRY_MILLIS: Long = 1_000
--- a/entry/src/main/kotlin/pistachiopass/entry/http/CallerServer.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/http/CallerServer.kt
@@ -8,17 +8,23 @@
 import io.ktor.http.Headers
 import io.ktor.http.HttpHeaders
 import io.ktor.http.HttpStatusCode
+import io.ktor.http.content.OutgoingContent
 import io.ktor.server.application.Application
 import io.ktor.server.application.ApplicationCall
+import io.ktor.server.application.install
+import io.ktor.server.http.HttpRequestLifecycle
 import io.ktor.server.request.httpMethod
 import io.ktor.server.request.path
 import io.ktor.server.request.uri
 import io.ktor.server.response.header
+import io.ktor.server.response.respond
 import io.ktor.server.response.respondBytes
-import io.ktor.server.response.respondBytesWriter
 import io.ktor.server.routing.route
 import io.ktor.server.routing.routing
-import io.ktor.utils.io.ByteWriteChannel
+import io.ktor.utils.io.ByteReadChannel
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.launch
+import kotlinx.io.IOException
 import pistachiopass.entry.logging.Event
 import pistachiopass.entry.logging.EventLog
 import pistachiopass.entry.logging.field
@@ -31,16 +37,23 @@
 import java.util.UUID
 import kotlin.time.TimeSource
 
-/** Installs a route that passes every request to [handler] and replies with its failure, if it has one. */
+/**
+ * Installs a route that passes every request to [handler] and replies with its failure, if it has one.
+ *
+ * At most [windowBytes] of a streamed reply are held for a caller that reads slowly. A caller that hangs up cancels
+ * its request.
+ */
 public fun Application.serveCallers(
     handler: Handler,
+    windowBytes: Int,
     timeSource: TimeSource.WithComparableMarks = TimeSource.Monotonic,
     log: EventLog = EventLog,
 ) {
+    install(HttpRequestLifecycle) { cancelCallOnClose = true }
     routing {
         route("{path...}") {
             handle {
-                val exchange = call.exchange(timeSource)
+                val exchange = call.exchange(timeSource, windowBytes)
                 val outcome = handler.handle(RequestContext(exchange))
                 finish(exchange, outcome, log)
             }
@@ -61,7 +74,7 @@
     }
 }
 
-private fun ApplicationCall.exchange(timeSource: TimeSource.WithComparableMarks): Exchange {
+private fun ApplicationCall.exchange(timeSource: TimeSource.WithComparableMarks, windowBytes: Int): Exchange {
     val requestId = RequestId(request.headers[REQUEST_ID_HEADER]?.takeIf { it.isWellFormedId() } ?: newRequestId())
     return Exchange(
         requestId = requestId,
@@ -69,7 +82,7 @@
         head = RequestHead(request.httpMethod, request.path(), request.uri, request.headers),
         arrivedAt = timeSource.markNow(),
         body = request.receiveChannel(),
-        reply = CallReply(this, requestId),
+        reply = CallReply(this, requestId, windowBytes),
     )
 }
 
@@ -77,7 +90,19 @@
 
 private fun String.isWellFormedId(): Boolean = length in 1..MAX_ID_CHARS && all { it.isLetterOrDigit() || it in "-_." }
 
-private class CallReply(private val call: ApplicationCall, private val requestId: RequestId) : Reply {
+private class StreamContent(
+    override val status: HttpStatusCode,
+    override val contentType: ContentType?,
+    private val body: ByteReadChannel,
+) : OutgoingContent.ReadChannelContent() {
+    override fun readFrom(): ByteReadChannel = body
+}
+
+private class CallReply(
+    private val call: ApplicationCall,
+    private val requestId: RequestId,
+    private val windowBytes: Int,
+) : Reply {
     override var started: Boolean = false
         private set
 
@@ -89,10 +114,22 @@
     override suspend fun stream(
         status: HttpStatusCode,
         headers: Headers,
-        write: suspend (ByteWriteChannel) -> Unit,
-    ) {
+        write: suspend (ByteSink) -> Unit,
+    ): Boolean {
         begin(headers)
-        call.respondBytesWriter(headers.contentTypeOrNull(), status) { write(this) }
+        val body = windowedBodyOf(windowBytes)
+        return try {
+            coroutineScope {
+                launch {
+                    write(body)
+                    body.finish()
+                }
+                call.respond(StreamContent(status, headers.contentTypeOrNull(), body))
+            }
+            true
+        } catch (_: IOException) {
+            false
+        }
     }
 
     private fun begin(headers: Headers) {
--- a/entry/src/main/kotlin/pistachiopass/entry/http/Exchange.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/http/Exchange.kt
@@ -5,7 +5,6 @@
 import io.ktor.http.HttpMethod
 import io.ktor.http.HttpStatusCode
 import io.ktor.utils.io.ByteReadChannel
-import io.ktor.utils.io.ByteWriteChannel
 import pistachiopass.model.RequestId
 import pistachiopass.model.WorkspaceId
 import kotlin.time.ComparableTimeMark
@@ -38,6 +37,6 @@
     /** Sends a whole reply. */
     public suspend fun send(status: HttpStatusCode, headers: Headers, body: ByteArray)
 
-    /** Sends a reply whose body [write] produces; returns when the body is complete or the caller has gone. */
-    public suspend fun stream(status: HttpStatusCode, headers: Headers, write: suspend (ByteWriteChannel) -> Unit)
+    /** Sends a reply whose body [write] produces; returns whether the caller took all of it. */
+    public suspend fun stream(status: HttpStatusCode, headers: Headers, write: suspend (ByteSink) -> Unit): Boolean
 }
--- a/entry/src/main/kotlin/pistachiopass/entry/http/FailureReplies.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/http/FailureReplies.kt
@@ -45,6 +45,7 @@
         FailureCode.ENDPOINT_FAILED -> HttpStatusCode.BadGateway
         FailureCode.NO_ENDPOINT, FailureCode.OVERLOADED, FailureCode.STOPPING -> HttpStatusCode.ServiceUnavailable
         FailureCode.TIMEOUT -> HttpStatusCode.GatewayTimeout
+        FailureCode.CALLER_GONE -> CLIENT_CLOSED_REQUEST
     }
 
 /** Returns what the caller is told of this failure. */
@@ -78,7 +79,10 @@
 private val PRECONDITION_REQUIRED: HttpStatusCode =
     HttpStatusCode(PRECONDITION_REQUIRED_STATUS, "Precondition Required")
 
+private val CLIENT_CLOSED_REQUEST: HttpStatusCode = HttpStatusCode(CLIENT_CLOSED_STATUS, "Client Closed Request")
+
 private val errorJson: Json = Json { explicitNulls = false }
 
 private const val MILLIS_PER_SECOND: Long = 1_000
 private const val PRECONDITION_REQUIRED_STATUS: Int = 428
+private const val CLIENT_CLOSED_STATUS: Int = 499
--- a/entry/src/main/kotlin/pistachiopass/entry/stream/AnswerRelay.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/stream/AnswerRelay.kt
@@ -1,44 +1,81 @@
-/** Passes an endpoint's answer on to the caller. */
+/**
+ * Passes an endpoint's answer on to the caller.
+ *
+ * A stream whose connection breaks, falls silent or loses a chunk is taken up again at the same engine. It ends with
+ * the end marker or with an explicit error event, never in silence.
+ */
 package pistachiopass.entry.stream
 
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.mapBoth
 import io.ktor.client.statement.HttpResponse
 import io.ktor.client.statement.bodyAsBytes
 import io.ktor.client.statement.bodyAsChannel
 import io.ktor.http.ContentType
 import io.ktor.http.Headers
 import io.ktor.http.HttpHeaders
+import io.ktor.http.HttpStatusCode
 import io.ktor.http.contentType
 import io.ktor.http.headers
 import io.ktor.http.isSuccess
-import io.ktor.utils.io.ByteReadChannel
-import io.ktor.utils.io.ByteWriteChannel
-import io.ktor.utils.io.writeStringUtf8
-import kotlinx.coroutines.withTimeoutOrNull
-import pistachiopass.entry.endpoint.readSseEventOrNull
+import io.ktor.utils.io.cancel
+import pistachiopass.entry.endpoint.EndpointClient
 import pistachiopass.entry.http.Completion
 import pistachiopass.entry.http.Exchange
 import pistachiopass.entry.http.asEvent
-import pistachiopass.model.EndpointId
+import pistachiopass.entry.logging.Event
+import pistachiopass.entry.logging.EventLog
+import pistachiopass.entry.logging.field
+import pistachiopass.entry.logging.log
+import pistachiopass.model.Endpoint
 import pistachiopass.model.Failure
 import pistachiopass.model.FailureCode
+import pistachiopass.model.RequestId
+import pistachiopass.model.RouteName
 import pistachiopass.model.VERDICT_HEADER
 import pistachiopass.model.Verdict
+import pistachiopass.stream.EventIds
+import pistachiopass.stream.StreamPosition
+import pistachiopass.stream.StreamTicket
+import pistachiopass.stream.chunkSequencerOf
 import kotlin.time.ComparableTimeMark
 
-/** Relays the answer of [endpoint] to the caller of [exchange] until [deadline]. */
+/** Names one answer to be relayed: who asked, which endpoint answers, and until when. */
+public class AnswerSource(
+    public val exchange: Exchange,
+    public val endpoint: Endpoint,
+    /** The id under which the endpoint knows the request. */
+    public val leaseId: RequestId,
+    public val route: RouteName,
+    public val deadline: ComparableTimeMark,
+)
+
+/** Limits on silence, in milliseconds. */
+public class RelayLimits(public val readIdleMillis: Long, public val stallMillis: Long)
+
+/** Relays answers to callers. */
 public class AnswerRelay(
-    private val exchange: Exchange,
-    private val endpoint: EndpointId,
-    private val deadline: ComparableTimeMark,
+    private val client: EndpointClient,
+    private val eventIds: EventIds,
+    private val limits: RelayLimits,
+    private val log: EventLog = EventLog,
 ) {
     /** Relays a whole response or a stream of events, as the endpoint sends it. */
-    public suspend fun relay(response: HttpResponse): Result<Completion, Failure> =
-        if (response.status.isSuccess() && response.isEventStream()) relayStream(response) else relayWhole(response)
+    public suspend fun relay(source: AnswerSource, response: HttpResponse): Result<Completion, Failure> =
+        if (response.status.isSuccess() && response.isEventStream()) {
+            val ticket = source.ticketOf(response.headers[STREAM_ID_HEADER].orEmpty())
+            relayStream(source, StreamPosition(ticket, nextOffset = 0, elapsedMillis = 0), response)
+        } else {
+            relayWhole(source.exchange, response)
+        }
 
-    private suspend fun relayWhole(response: HttpResponse): Result<Completion, Failure> {
+    /** Takes the stream at [position] up again for a caller that read it through another connection. */
+    public suspend fun resume(source: AnswerSource, position: StreamPosition): Result<Completion, Failure> =
+        openStream(source, position.ticket.streamId, position.nextOffset) { relayStream(source, position, it) }
+
+    private suspend fun relayWhole(exchange: Exchange, response: HttpResponse): Result<Completion, Failure> {
         val body = response.bodyAsBytes()
         val headers = headers {
             response.headers[HttpHeaders.ContentType]?.let { append(HttpHeaders.ContentType, it) }
@@ -48,31 +85,87 @@
         return Ok(Completion(response.status.value, body.size.toLong()))
     }
 
-    private suspend fun relayStream(response: HttpResponse): Result<Completion, Failure> {
-        var failure: Failure? = null
+    private suspend fun relayStream(
+        source: AnswerSource,
+        position: StreamPosition,
+        response: HttpResponse,
+    ): Result<Completion, Failure> {
+        val exchange = source.exchange
+        var end: PumpEnd? = null
         var sentBytes = 0L
-        exchange.reply.stream(response.status, streamHeaders()) { output ->
-            val copy = EventCopy(response.bodyAsChannel(), output)
-            val complete = withTimeoutOrNull(-deadline.elapsedNow()) { copy.run() }
-            failure = failureOrNull(complete)
-            failure?.let { output.writeStringUtf8(it.asEvent(exchange.requestId, resumable = false)) }
-            sentBytes = copy.sentBytes
+        val taken = exchange.reply.stream(HttpStatusCode.OK, streamHeaders()) { sink ->
+            val pump = StreamPump(
+                chunkSequencerOf(position.ticket.streamId, position.nextOffset),
+                eventIds.writerOf(position.ticket, exchange.workspace),
+                sink,
+                pumpLimits(source, position),
+            )
+            val last = pumpToEnd(source, position.ticket.streamId, pump, response)
+            failureOrNull(last, source.endpoint)
+                ?.takeIf { last != PumpEnd.STALLED }
+                ?.let { sink.write(it.asEvent(exchange.requestId, resumable = true).encodeToByteArray()) }
+            sentBytes = pump.sentBytes
+            end = last
         }
+        val failure = if (taken) failureOrNull(end ?: PumpEnd.BROKEN, source.endpoint) else callerGone()
         return failure?.let { Err(it) } ?: Ok(Completion(response.status.value, sentBytes))
     }
 
-    /** [complete] is null when the deadline passed, and false when the endpoint's stream ended early. */
-    private fun failureOrNull(complete: Boolean?): Failure? =
-        when (complete) {
-            true -> null
-            false -> failure(
-                FailureCode.ENDPOINT_FAILED,
-                "the stream of endpoint $endpoint ended before its end marker"
+    private fun pumpLimits(source: AnswerSource, position: StreamPosition): PumpLimits = PumpLimits(
+        idleMillis = limits.readIdleMillis,
+        stallMillis = limits.stallMillis,
+        arrivedAt = source.exchange.arrivedAt,
+        deadline = source.deadline,
+        elapsedBeforeMillis = position.elapsedMillis,
+    )
+
+    /** Pumps [first] and, after each break, a new connection to the same stream; gives up when none opens any more. */
+    private suspend fun pumpToEnd(
+        source: AnswerSource,
+        streamId: String,
+        pump: StreamPump,
+        first: HttpResponse,
+    ): PumpEnd {
+        var end = pumpOnce(pump, first)
+        var failedAttempts = 0
+        while (end == PumpEnd.BROKEN && failedAttempts < MAX_FAILED_RESUMES) {
+            log.log(
+                Event.STREAM_RESUMED,
+                source.exchange.requestId,
+                field("endpoint", source.endpoint.id),
+                field("offset", pump.nextOffset),
             )
-            null -> failure(FailureCode.TIMEOUT, "the deadline passed before endpoint $endpoint ended its answer")
+            val resumed = openStream(source, streamId, pump.nextOffset) { Ok(pumpOnce(pump, it)) }
+            end = resumed.mapBoth({ it }, { PumpEnd.BROKEN })
+            failedAttempts = if (resumed.isOk) 0 else failedAttempts + 1
+        }
+        if (end == PumpEnd.STALLED) log.log(Event.STREAM_STALLED, source.exchange.requestId)
+        return end
+    }
+
+    private suspend fun pumpOnce(pump: StreamPump, response: HttpResponse): PumpEnd {
+        val input = response.bodyAsChannel()
+        return pump.run(input).also { if (it != PumpEnd.COMPLETE) input.cancel() }
+    }
+
+    private suspend fun <T> openStream(
+        source: AnswerSource,
+        streamId: String,
+        offset: Long,
+        receive: suspend (HttpResponse) -> Result<T, Failure>,
+    ): Result<T, Failure> =
+        client.exchange(source.endpoint, "/v1/streams/$streamId?offset=$offset", build = {}) { response ->
+            if (response.status.isSuccess()) receive(response) else Err(lost(source.endpoint))
         }
 
-    private fun failure(code: FailureCode, message: String): Failure = Failure(code, Verdict.MAY_HAVE_RUN, message)
+    private fun failureOrNull(end: PumpEnd, endpoint: Endpoint): Failure? =
+        when (end) {
+            PumpEnd.COMPLETE -> null
+            PumpEnd.BROKEN -> lost(endpoint)
+            PumpEnd.STALLED -> callerGone()
+            PumpEnd.TIMED_OUT ->
+                ran(FailureCode.TIMEOUT, "the deadline passed before endpoint ${endpoint.id} ended its answer")
+        }
 
     private fun streamHeaders(): Headers = headers {
         append(HttpHeaders.ContentType, ContentType.Text.EventStream.toString())
@@ -80,23 +173,16 @@
     }
 }
 
-private class EventCopy(private val input: ByteReadChannel, private val output: ByteWriteChannel) {
-    var sentBytes: Long = 0
-        private set
-
-    /** Copies events and returns whether the end marker came. */
-    suspend fun run(): Boolean {
-        while (true) {
-            val event = input.readSseEventOrNull() ?: return false
-            val text = event.id?.let { "id: $it\n" }.orEmpty() + "data: ${event.data}\n\n"
-            output.writeStringUtf8(text)
-            output.flush()
-            sentBytes += text.length
-            if (event.data == END_OF_STREAM) return true
-        }
-    }
-}
+private fun AnswerSource.ticketOf(streamId: String): StreamTicket = StreamTicket(endpoint.id, streamId, leaseId, route)
+
+private fun lost(endpoint: Endpoint): Failure =
+    ran(FailureCode.ENDPOINT_FAILED, "endpoint ${endpoint.id} does not keep the stream any more")
+
+private fun callerGone(): Failure = ran(FailureCode.CALLER_GONE, "the caller took no more of its answer")
+
+private fun ran(code: FailureCode, message: String): Failure = Failure(code, Verdict.MAY_HAVE_RUN, message)
 
 private fun HttpResponse.isEventStream(): Boolean = contentType()?.match(ContentType.Text.EventStream) == true
 
-private const val END_OF_STREAM: String = "[DONE]"
+private const val STREAM_ID_HEADER: String = "X-Stream-Id"
+private const val MAX_FAILED_RESUMES: Int = 3
--- /dev/null
+++ b/entry/src/main/kotlin/pistachiopass/entry/stream/StreamPump.kt
@@ -0,0 +1,120 @@
+/** Copies the events of one stream from an endpoint to the caller, in order and each once. */
+package pistachiopass.entry.stream
+
+import io.ktor.utils.io.ByteReadChannel
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.io.IOException
+import pistachiopass.entry.endpoint.SseEvent
+import pistachiopass.entry.endpoint.readSseEventOrNull
+import pistachiopass.entry.http.ByteSink
+import pistachiopass.stream.ChunkSequencer
+import pistachiopass.stream.EventIdWriter
+import pistachiopass.stream.SequencerOutcome
+import kotlin.time.ComparableTimeMark
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Tells why a pump stopped. */
+internal enum class PumpEnd {
+    /** The caller has the whole answer and its end marker. */
+    COMPLETE,
+
+    /** The endpoint's connection ended, fell silent or left a gap; the stream can be taken up again. */
+    BROKEN,
+
+    /** The caller took no byte within the stall limit. */
+    STALLED,
+
+    /** The deadline passed. */
+    TIMED_OUT,
+}
+
+/** Limits of one pump. */
+internal class PumpLimits(
+    val idleMillis: Long,
+    val stallMillis: Long,
+    val arrivedAt: ComparableTimeMark,
+    val deadline: ComparableTimeMark,
+    /** Time that the request had taken at an earlier instance. */
+    val elapsedBeforeMillis: Long = 0,
+)
+
+/** Pumps the stream of [sequencer] to [sink]; [run] may be called again with another connection after a break. */
+internal class StreamPump(
+    private val sequencer: ChunkSequencer<String>,
+    private val ids: EventIdWriter,
+    private val sink: ByteSink,
+    private val limits: PumpLimits,
+) {
+    private var finished: Boolean = false
+
+    /** Bytes that were handed to the caller. */
+    var sentBytes: Long = 0
+        private set
+
+    /** The offset of the next chunk that the caller wants. */
+    val nextOffset: Long get() = sequencer.nextOffset
+
+    /** Copies events of [input] until the stream ends, one way or the other. */
+    suspend fun run(input: ByteReadChannel): PumpEnd {
+        var end: PumpEnd? = null
+        while (end == null) {
+            val event = if (remainingMillis() > 0) readOrNull(input) else null
+            end = when {
+                event != null -> take(event)
+                remainingMillis() <= 0 -> PumpEnd.TIMED_OUT
+                else -> PumpEnd.BROKEN
+            }
+        }
+        return end
+    }
+
+    private suspend fun readOrNull(input: ByteReadChannel): SseEvent? =
+        try {
+            withTimeoutOrNull(minOf(limits.idleMillis, remainingMillis())) { input.readSseEventOrNull() }
+        } catch (_: IOException) {
+            null
+        }
+
+    private suspend fun take(event: SseEvent): PumpEnd? =
+        if (event.data == END_OF_STREAM) takeEnd() else takeChunk(event)
+
+    private suspend fun takeEnd(): PumpEnd {
+        if (!finished || sequencer.isMissingChunk) return PumpEnd.BROKEN
+        return if (send("data: $END_OF_STREAM\n\n")) PumpEnd.COMPLETE else PumpEnd.STALLED
+    }
+
+    private suspend fun takeChunk(event: SseEvent): PumpEnd? {
+        val streamId = event.id?.substringBeforeLast(':').orEmpty()
+        val offset = event.id?.substringAfterLast(':')?.toLongOrNull() ?: MALFORMED_OFFSET
+        return when (val outcome = sequencer.accept(streamId, offset, event.data)) {
+            is SequencerOutcome.InOrder -> sendAll(outcome)
+            SequencerOutcome.Gap, SequencerOutcome.OtherStream -> PumpEnd.BROKEN
+            SequencerOutcome.Held, SequencerOutcome.Duplicate -> null
+        }
+    }
+
+    private suspend fun sendAll(outcome: SequencerOutcome.InOrder<String>): PumpEnd? {
+        val elapsedMillis = limits.elapsedBeforeMillis + limits.arrivedAt.elapsedNow().inWholeMilliseconds
+        val text = buildString {
+            outcome.chunks.forEachIndexed { index, data ->
+                append("id: ").append(ids.idOf(outcome.firstOffset + index + 1, elapsedMillis))
+                append("\ndata: ").append(data).append("\n\n")
+            }
+        }
+        finished = finished || FINISH_REASON in outcome.chunks.last()
+        return if (send(text)) null else PumpEnd.STALLED
+    }
+
+    private suspend fun send(text: String): Boolean {
+        val bytes = text.encodeToByteArray()
+        withTimeoutOrNull(limits.stallMillis.milliseconds) { sink.write(bytes) } ?: return false
+        sentBytes += bytes.size
+        return true
+    }
+
+    private fun remainingMillis(): Long = -limits.deadline.elapsedNow().inWholeMilliseconds
+}
+
+private const val END_OF_STREAM: String = "[DONE]"
+private const val FINISH_REASON: String = "\"finish_reason\":\""
+private const val MALFORMED_OFFSET: Long = -1
--- a/standins/src/main/kotlin/pistachiopass/standins/load/StreamCheck.kt
+++ b/standins/src/main/kotlin/pistachiopass/standins/load/StreamCheck.kt
@@ -26,7 +26,7 @@
 
     /** Takes one line and returns whether it carried a token. */
     public fun takeLine(line: String): Boolean {
-        if (line.startsWith(ID_PREFIX)) offset = line.substringAfterLast(':').trim().toLongOrNull()
+        if (line.startsWith(ID_PREFIX)) offset = offsetOrNull(line.removePrefix(ID_PREFIX).trim())
         if (!line.startsWith(DATA_PREFIX)) return false
         val before = tokens
         takeData(line.removePrefix(DATA_PREFIX).trim())
@@ -66,5 +66,11 @@
     }
 }
 
+/** Returns the offset of a chunk: an engine's id names it, a daemon's id names the chunk after it. */
+private fun offsetOrNull(id: String): Long? {
+    if (':' in id) return id.substringAfterLast(':').toLongOrNull()
+    return id.split('.').getOrNull(1)?.toLongOrNull()?.minus(1)
+}
+
 private const val ID_PREFIX: String = "id:"
 private const val DATA_PREFIX: String = "data:"
