Answer bookings by their keys in the daemon, and move the ledger at a stop

Routes that are not idempotent need an issued key; the filter issues it with 428, brings the request to the key's holder and replies with the recorded answer. A planned stop ends requests, seals the ledger and moves it.

A test on bare sockets cuts requests and answers at every byte. Found: Ktor's CIO client repeats nothing, but takes a body shorter than its Content-Length for whole, and loses the error of a broken one in a race; both are checked now (readWholeBody). A 503 with Retry-After is believed of engines only, errors after the first byte of an answer are never 'not run', and errors that are no IOException are judged too.

Ruled out: 'not run' for a request with a key that was refused before the key was looked up (a stopping instance, no room): an earlier one may have run.

--- a/coordination/src/main/kotlin/pistachiopass/booking/BookingLedger.kt
+++ b/coordination/src/main/kotlin/pistachiopass/booking/BookingLedger.kt
@@ -22,11 +22,14 @@
     val keys: Int = 10_000,
     /** Memory of keys and recorded outcomes; beyond it none is issued and none begins to run. */
     val bytes: Long = DEFAULT_MEBIBYTES * MEBIBYTE_BYTES,
-    /** Longest answer that is recorded. */
+    /** Longest body of a booking, and longest answer that is recorded. */
     val recordBytes: Int = DEFAULT_RECORD_KIBIBYTES * KIBIBYTE_BYTES,
     /** Time for which an unused key may be used, and for which an outcome is kept. */
     val keyMillis: Long = 3_600_000,
-)
+) {
+    /** Memory that is set aside for a running booking: its request and its answer. */
+    internal val runningBytes: Long get() = 2L * recordBytes
+}
 
 /** Tells what a request with a key has to do. */
 public sealed interface Claim {
@@ -86,12 +89,12 @@
 
     private val expiry: ComparableTimeMark get() = clock.markNow() + limits.keyMillis.milliseconds
 
-    private val reservedBytes: Long get() = running.toLong() * limits.recordBytes
+    private val reservedBytes: Long get() = running * limits.runningBytes
 
     /** Whether the ledger is sealed. */
     public val isSealed: Boolean @Synchronized get() = sealed
 
-    /** Memory that is held, with what is set aside for the answers of running bookings. */
+    /** Memory that is held, with what is set aside for running bookings. */
     public val heldBytes: Long @Synchronized get() = entries.bytes + reservedBytes
 
     /** Keys that are held. */
@@ -177,7 +180,7 @@
 
     private fun start(key: LedgerKey, entry: LedgerEntry, digest: PayloadDigest): Claim {
         entry.digest = digest
-        if (heldBytes + limits.recordBytes > limits.bytes * ADOPTION_FACTOR) {
+        if (heldBytes + limits.runningBytes > limits.bytes * ADOPTION_FACTOR) {
             entries.record(key, NO_ROOM, expiry)
             return Claim.Recorded(NO_ROOM)
         }
--- a/entry/src/main/kotlin/pistachiopass/entry/Daemon.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/Daemon.kt
@@ -8,11 +8,13 @@
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
-import kotlinx.coroutines.delay
 import kotlinx.coroutines.flow.first
-import kotlinx.coroutines.withTimeoutOrNull
 import pistachiopass.entry.body.BodyReader
 import pistachiopass.entry.body.heldMemoryOf
+import pistachiopass.entry.booking.BookingFilter
+import pistachiopass.entry.booking.EndpointBookingSender
+import pistachiopass.entry.booking.VerdictFilter
+import pistachiopass.entry.booking.instanceBookingsOf
 import pistachiopass.entry.endpoint.LoadController
 import pistachiopass.entry.endpoint.endpointClientOf
 import pistachiopass.entry.filter.BodyFilter
@@ -32,6 +34,7 @@
 import pistachiopass.entry.logging.log
 import pistachiopass.entry.logging.tokenField
 import pistachiopass.entry.metrics.metricsOf
+import pistachiopass.entry.peer.peerTransportOf
 import pistachiopass.entry.placement.BlindAllocator
 import pistachiopass.entry.platform.TablesController
 import pistachiopass.entry.platform.platformClientOf
@@ -40,28 +43,39 @@
 import pistachiopass.entry.stream.RelayLimits
 import pistachiopass.model.DataCentreId
 import pistachiopass.model.Endpoint
-import pistachiopass.model.StartId
+import pistachiopass.model.Instance
+import pistachiopass.peer.startIdOf
 import pistachiopass.routing.affinityChooser
 import pistachiopass.status.InstanceStatus
 import pistachiopass.stream.eventIdsOf
 import pistachiopass.tables.tablesInForceOf
+import java.security.SecureRandom
 import java.util.Base64
-import java.util.UUID
+import kotlin.random.asKotlinRandom
 import kotlin.time.TimeSource
 
 /** Runs one instance from [start] to [stop]. */
 public class Daemon(private val settings: Settings) {
     private val startedAt = TimeSource.Monotonic.markNow()
-    private val startId = StartId("${System.currentTimeMillis()}-${UUID.randomUUID()}")
+    private val startId = startIdOf(System.currentTimeMillis(), SecureRandom().asKotlinRandom())
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     private val metrics = metricsOf()
     private val memory = heldMemoryOf(settings.limits.heldBytes)
     private val tables = tablesInForceOf()
     private val platform = platformClientOf(settings.platformAddress, settings.instance)
     private val client = endpointClientOf(settings.limits.readIdleMillis)
+    private val transport = peerTransportOf(settings, startId, metrics, ::instances)
     private val loads = LoadController(client, ::endpoints)
     private val limits = settings.limits
     private val eventIds = eventIdsOf(Base64.getDecoder().decode(settings.sharedKey))
+    private val allocator = BlindAllocator(settings.dataCentre, affinityChooser(), loads, ::dataCentresOut)
+    private val bookings = instanceBookingsOf(
+        settings,
+        transport,
+        EndpointBookingSender(allocator, client, tables.state::value, settings.ledger),
+        ::instances,
+        scope,
+    )
     private val stopFilter = StopFilter()
     private val servers = listOf(callerServer(), adminServer())
 
@@ -73,6 +87,7 @@
         log(Event.START)
         TablesController(platform, tables, ::uptimeMillis).start(scope)
         loads.start(scope)
+        HostPort(settings.peerAddress).let { transport.listen(it.host, it.port) }
         servers.forEach { it.startSuspend(wait = false) }
         tables.state.first { it.routes != null && it.pools != null }
         log(Event.READY)
@@ -82,28 +97,24 @@
     public suspend fun stop() {
         stopping = true
         log(Event.STOP_BEGUN)
-        stopFilter.close()
-        val drained = withTimeoutOrNull(settings.limits.stopMillis) { awaitIdle() } != null
-        if (!drained) EventLog.log(Event.STOP_TIMED_OUT, field("running", stopFilter.runningRequests))
+        GracefulStop(stopFilter, bookings, limits.stopMillis).run()
         servers.forEach { it.stopSuspend(SERVER_GRACE_MILLIS, SERVER_GRACE_MILLIS) }
+        transport.close()
         scope.cancel()
         client.close()
         platform.close()
         log(Event.STOP_DONE)
     }
 
-    private suspend fun awaitIdle() {
-        while (stopFilter.runningRequests > 0) delay(IDLE_POLL_MILLIS)
-    }
-
     private fun callerServer(): EmbeddedServer<*, *> {
-        val allocator = BlindAllocator(settings.dataCentre, affinityChooser(), loads, ::dataCentresOut)
         val relay = AnswerRelay(client, eventIds, RelayLimits(limits.readIdleMillis, limits.stallMillis))
         val filters = listOf(
+            VerdictFilter(),
             stopFilter,
             ResumeFilter(tables.state::value, eventIds, relay, client),
             BodyFilter(BodyReader(limits.bodyBytes, memory)),
             RouteFilter(tables.state::value),
+            BookingFilter(bookings, settings.ledger.recordBytes, metrics),
         )
         val handler = filters.endingIn(ForwardHandler(allocator, client, relay))
         return callerServerOf(settings) { serveCallers(handler, limits.streamBufferBytes) }
@@ -117,6 +128,8 @@
     private fun endpoints(): List<Endpoint> =
         tables.state.value.pools?.value?.pools.orEmpty().flatMap { it.endpoints }.distinctBy { it.id }
 
+    private fun instances(): List<Instance> = tables.state.value.instances?.value?.instances.orEmpty()
+
     private fun dataCentresOut(): Set<DataCentreId> = tables.state.value.pools?.value?.dataCentresOut.orEmpty()
 
     private fun uptimeMillis(): Long = startedAt.elapsedNow().inWholeMilliseconds
@@ -147,4 +160,3 @@
 }
 
 private const val SERVER_GRACE_MILLIS: Long = 500
-private const val IDLE_POLL_MILLIS: Long = 50
--- /dev/null
+++ b/entry/src/main/kotlin/pistachiopass/entry/booking/BookingFilter.kt
@@ -0,0 +1,128 @@
+/** Answers the requests of routes that are not idempotent, by their keys. */
+package pistachiopass.entry.booking
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.get
+import com.github.michaelbull.result.mapBoth
+import io.ktor.http.Headers
+import io.ktor.http.HttpHeaders
+import io.ktor.http.HttpStatusCode
+import io.ktor.http.headers
+import pistachiopass.booking.BookingHeader
+import pistachiopass.booking.BookingOutcome
+import pistachiopass.booking.BookingRequest
+import pistachiopass.booking.Bookings
+import pistachiopass.booking.verdict
+import pistachiopass.entry.http.Completion
+import pistachiopass.entry.http.Filter
+import pistachiopass.entry.http.Handler
+import pistachiopass.entry.http.IDEMPOTENCY_KEY_HEADER
+import pistachiopass.entry.http.RequestContext
+import pistachiopass.entry.http.requireBody
+import pistachiopass.entry.http.requireTarget
+import pistachiopass.entry.logging.Event
+import pistachiopass.entry.logging.EventLog
+import pistachiopass.entry.logging.fingerprintField
+import pistachiopass.entry.logging.log
+import pistachiopass.entry.metrics.Metrics
+import pistachiopass.model.Failure
+import pistachiopass.model.FailureCode
+import pistachiopass.model.VERDICT_HEADER
+import pistachiopass.model.Verdict
+import kotlin.time.ComparableTimeMark
+
+/** Books through [bookings]; [maxBodyBytes] bounds the body of a booking. */
+public class BookingFilter(
+    private val bookings: Bookings,
+    private val maxBodyBytes: Int,
+    private val metrics: Metrics,
+    private val log: EventLog = EventLog,
+) : Filter {
+    override suspend fun filter(context: RequestContext, next: Handler): Result<Completion, Failure> {
+        val key = context.exchange.head.headers[IDEMPOTENCY_KEY_HEADER]
+        return when {
+            context.requireTarget().route.idempotent -> {
+                context.proof?.give()
+                next.handle(context)
+            }
+            key == null -> Err(keyRequired(context))
+            context.requireBody().bytes.size > maxBodyBytes -> Err(tooLarge(context))
+            else -> book(context, key)
+        }
+    }
+
+    private fun keyRequired(context: RequestContext): Failure = bookings.issueKey().mapBoth(
+        { key ->
+            log.log(Event.KEY_ISSUED, context.exchange.requestId, fingerprintField("key", key))
+            Failure(FailureCode.KEY_REQUIRED, Verdict.NOT_RUN, KEY_REQUIRED_MESSAGE, idempotencyKey = key)
+        },
+        { refusal ->
+            if (refusal.code == FailureCode.OVERLOADED) log.log(Event.LEDGER_FULL, context.exchange.requestId)
+            refusal
+        },
+    )
+
+    private fun tooLarge(context: RequestContext): Failure {
+        val bytes = context.requireBody().bytes.size
+        val message = "a booking of $bytes bytes exceeds the limit of $maxBodyBytes bytes"
+        return Failure(FailureCode.PROMPT_TOO_LARGE, Verdict.NOT_RUN, message)
+    }
+
+    private suspend fun book(context: RequestContext, key: String): Result<Completion, Failure> {
+        val outcome = bookings.book(key, requestOf(context), timeoutMillisOf(context.requireTarget().deadline))
+        context.proof?.give()
+        metrics.bookingEnded(outcome.verdict)
+        return when (outcome) {
+            is BookingOutcome.Answer -> send(context, outcome)
+            is BookingOutcome.Failed -> Err(withFreshKey(outcome.failure))
+        }
+    }
+
+    /** A refused key is void, so the caller gets another one where trying again may help. */
+    private fun withFreshKey(failure: Failure): Failure =
+        if (failure.verdict == Verdict.NOT_RUN && failure.code in RETRYABLE) {
+            failure.copy(idempotencyKey = bookings.issueKey().get())
+        } else {
+            failure
+        }
+
+    private suspend fun send(context: RequestContext, answer: BookingOutcome.Answer): Result<Completion, Failure> {
+        context.exchange.reply.send(HttpStatusCode.fromValue(answer.status), headersOf(answer), answer.body)
+        return Ok(Completion(answer.status, answer.body.size.toLong()))
+    }
+
+    private fun headersOf(answer: BookingOutcome.Answer): Headers = headers {
+        answer.headers.forEach { append(it.name, it.value) }
+        append(VERDICT_HEADER, Verdict.RAN.text)
+    }
+
+    private fun requestOf(context: RequestContext): BookingRequest {
+        val exchange = context.exchange
+        val headers = FORWARDED_HEADERS.mapNotNull { name ->
+            exchange.head.headers[name]?.let { BookingHeader(name, it) }
+        }
+        return BookingRequest(
+            exchange.requestId,
+            exchange.workspace,
+            exchange.head.method.value,
+            exchange.head.uri,
+            headers,
+            context.requireBody().bytes,
+        )
+    }
+}
+
+/** Returns the time within which the outcome has to be known, so that the caller hears of it before [deadline]. */
+private fun timeoutMillisOf(deadline: ComparableTimeMark): Long {
+    val remainingMillis = (-deadline.elapsedNow().inWholeMilliseconds).coerceAtLeast(0)
+    return remainingMillis - minOf(MAX_REPLY_MILLIS, remainingMillis / REPLY_SHARE)
+}
+
+private val FORWARDED_HEADERS: List<String> = listOf(HttpHeaders.ContentType, HttpHeaders.Accept)
+private val RETRYABLE: Set<FailureCode> =
+    setOf(FailureCode.NO_ENDPOINT, FailureCode.OVERLOADED, FailureCode.STOPPING, FailureCode.TIMEOUT)
+private const val KEY_REQUIRED_MESSAGE: String = "this route needs a key; send the request again with the one given"
+private const val MAX_REPLY_MILLIS: Long = 500
+private const val REPLY_SHARE: Long = 10
--- /dev/null
+++ b/entry/src/main/kotlin/pistachiopass/entry/booking/VerdictFilter.kt
@@ -0,0 +1,33 @@
+/**
+ * Keeps refusals of repeated bookings true.
+ *
+ * What refuses a request before its key was looked up can't know whether an earlier request with the same key ran.
+ */
+package pistachiopass.entry.booking
+
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.mapError
+import pistachiopass.entry.http.Completion
+import pistachiopass.entry.http.Filter
+import pistachiopass.entry.http.Handler
+import pistachiopass.entry.http.IDEMPOTENCY_KEY_HEADER
+import pistachiopass.entry.http.RequestContext
+import pistachiopass.entry.http.VerdictProof
+import pistachiopass.model.Failure
+import pistachiopass.model.Verdict
+
+/** Turns the verdict `not run` of a request with a key into `may have run`, unless the holder of the key gave it. */
+public class VerdictFilter : Filter {
+    override suspend fun filter(context: RequestContext, next: Handler): Result<Completion, Failure> {
+        if (IDEMPOTENCY_KEY_HEADER !in context.exchange.head.headers) return next.handle(context)
+        val proof = VerdictProof()
+        return next.handle(context.copy(proof = proof)).mapError { failure -> judged(failure, proof) }
+    }
+
+    private fun judged(failure: Failure, proof: VerdictProof): Failure =
+        if (proof.isGiven || failure.verdict != Verdict.NOT_RUN) {
+            failure
+        } else {
+            failure.copy(verdict = Verdict.MAY_HAVE_RUN, message = "${failure.message}; the key was not looked up")
+        }
+}
--- a/entry/src/main/kotlin/pistachiopass/entry/endpoint/EndpointClient.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/endpoint/EndpointClient.kt
@@ -3,6 +3,8 @@
 
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.getOrElse
+import com.github.michaelbull.result.runCatching
 import io.ktor.client.HttpClient
 import io.ktor.client.engine.cio.CIO
 import io.ktor.client.engine.cio.endpoint
@@ -18,6 +20,7 @@
 import io.ktor.http.HttpHeaders
 import io.ktor.http.HttpStatusCode
 import io.ktor.http.isSuccess
+import kotlinx.coroutines.ensureActive
 import kotlinx.io.IOException
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.json.Json
@@ -26,36 +29,42 @@
 import pistachiopass.model.Failure
 import pistachiopass.model.FailureCode
 import pistachiopass.model.ModelName
+import pistachiopass.model.PoolKind
 import pistachiopass.model.RequestId
 import pistachiopass.model.StartId
 import pistachiopass.model.Verdict
 import java.net.ConnectException
+import java.nio.channels.UnresolvedAddressException
+import kotlin.coroutines.coroutineContext
 
 /** Speaks to endpoints; one client serves all of them. */
 public class EndpointClient internal constructor(private val client: HttpClient) : AutoCloseable {
     /**
-     * Sends one request and passes the response to [receive]; [onSend] runs just before the first byte may leave.
+     * Sends one request and passes the response to [receive].
      *
-     * Fails with `not run` when no connection came about or the endpoint refused the request with 503 and
-     * `Retry-After`, and with `may have run` after any other error.
+     * Fails with `not run` when no connection came about or a model engine refused the request with 503 and
+     * `Retry-After`, and with `may have run` after any other error. The same answer of a plain service is passed on,
+     * since a service may give it after it ran the request.
      */
     public suspend fun <T> exchange(
         endpoint: Endpoint,
+        kind: PoolKind,
         uri: String,
         build: HttpRequestBuilder.() -> Unit,
         receive: suspend (HttpResponse) -> Result<T, Failure>,
-    ): Result<T, Failure> =
-        try {
+    ): Result<T, Failure> {
+        var isAnswered = false
+        return runCatching {
             client.prepareRequest("http://${endpoint.address}$uri", build).execute { response ->
-                if (response.isRefusal()) Err(endpoint.refused(response)) else receive(response)
+                isAnswered = true
+                val isRefusal = kind == PoolKind.MODEL && response.isRefusal()
+                if (isRefusal) Err(endpoint.refused(response)) else receive(response)
             }
-        } catch (exception: ConnectException) {
-            Err(endpoint.unreachable(exception))
-        } catch (exception: ConnectTimeoutException) {
-            Err(endpoint.unreachable(exception))
-        } catch (exception: IOException) {
-            Err(endpoint.broken(exception))
+        }.getOrElse { cause ->
+            coroutineContext.ensureActive()
+            Err(if (isAnswered) endpoint.broken(cause) else endpoint.failed(cause))
         }
+    }
 
     /** Returns the load report of an endpoint, or null when it gives none in time. */
     public suspend fun loadOrNull(endpoint: Endpoint): LoadReport? =
@@ -134,10 +143,16 @@
     retryAfterMillis = response.headers[HttpHeaders.RetryAfter]?.toLongOrNull()?.times(MILLIS_PER_SECOND),
 )
 
-private fun Endpoint.unreachable(cause: Exception): Failure =
+private fun Endpoint.failed(cause: Throwable): Failure =
+    when (cause) {
+        is ConnectException, is ConnectTimeoutException, is UnresolvedAddressException -> unreachable(cause)
+        else -> broken(cause)
+    }
+
+private fun Endpoint.unreachable(cause: Throwable): Failure =
     Failure(FailureCode.NO_ENDPOINT, Verdict.NOT_RUN, "endpoint $id cannot be reached: ${cause::class.simpleName}")
 
-private fun Endpoint.broken(cause: Exception): Failure = Failure(
+private fun Endpoint.broken(cause: Throwable): Failure = Failure(
     FailureCode.ENDPOINT_FAILED,
     Verdict.MAY_HAVE_RUN,
     "connection to endpoint $id broke: ${cause::class.simpleName}",
--- a/entry/src/main/kotlin/pistachiopass/entry/filter/ForwardHandler.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/filter/ForwardHandler.kt
@@ -69,6 +69,7 @@
         val source = context.answerSource(allocation)
         return client.exchange(
             endpoint = allocation.endpoint,
+            kind = context.requireTarget().pool.kind,
             uri = context.exchange.head.uri,
             build = { copyFrom(context, allocation) },
             receive = { response -> relay.relay(source, response) },
--- a/entry/src/main/kotlin/pistachiopass/entry/http/Filters.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/http/Filters.kt
@@ -15,8 +15,23 @@
     val body: RequestBody? = null,
     val facts: RequestFacts? = null,
     val target: Target? = null,
+    /** Present for requests with an idempotency key. */
+    val proof: VerdictProof? = null,
 )
 
+/** Tells whether the verdict on a request with a key comes from where the key is known. */
+public class VerdictProof {
+    /** Whether a verdict `not run` is true for all requests with the key. */
+    @Volatile
+    public var isGiven: Boolean = false
+        private set
+
+    /** Marks every later verdict on the request as known. */
+    public fun give() {
+        isGiven = true
+    }
+}
+
 /** Joins the route of a request with its pool and gives the request's deadline. */
 public data class Target(val route: Route, val pool: Pool, val deadline: ComparableTimeMark)
 
--- a/entry/src/main/kotlin/pistachiopass/entry/settings/Settings.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/settings/Settings.kt
@@ -25,13 +25,16 @@
     val sharedKey: String,
     /** Bounds on what the instance holds for callers. */
     val limits: LimitSettings = LimitSettings(),
+    /** Bounds on idempotency keys and recorded outcomes. */
+    val ledger: LedgerSettings = LedgerSettings(),
     /** Keys for TLS; without them all connections are plain. */
     val tls: TlsSettings? = null,
 ) {
     /** Returns the settings without the shared key. */
     override fun toString(): String =
         "Settings(instance=$instance, dataCentre=$dataCentre, httpAddress=$httpAddress, peerAddress=$peerAddress, " +
-            "adminAddress=$adminAddress, platformAddress=$platformAddress, sharedKey=$HIDDEN, limits=$limits, tls=$tls)"
+            "adminAddress=$adminAddress, platformAddress=$platformAddress, sharedKey=$HIDDEN, limits=$limits, " +
+            "ledger=$ledger, tls=$tls)"
 }
 
 /** Bounds on what the instance holds for callers. */
@@ -51,6 +54,21 @@
     val stopMillis: Long = 120_000,
 )
 
+/** Bounds on idempotency keys and recorded outcomes. */
+@Serializable
+public data class LedgerSettings(
+    /** Keys that the instance holds at a time. */
+    val keys: Int = 10_000,
+    /** Memory for keys, recorded outcomes and running bookings. */
+    val heldBytes: Long = DEFAULT_LEDGER_MEBIBYTES * MEBIBYTE_BYTES,
+    /** Longest body of a booking, and longest answer that is recorded. */
+    val recordBytes: Int = DEFAULT_RECORD_KIBIBYTES * KIBIBYTE_BYTES,
+    /** Time for which an unused key may be used, and for which an outcome is kept. */
+    val keyMillis: Long = 3_600_000,
+    /** Longest silence of a service that has been sent a booking. */
+    val answerMillis: Long = 60_000,
+)
+
 /** Keys for TLS towards callers and between instances. */
 @Serializable
 public data class TlsSettings(
@@ -68,4 +86,6 @@
 private const val MEBIBYTE_BYTES: Long = 1024L * 1024
 private const val DEFAULT_BODY_MEBIBYTES: Long = 16
 private const val DEFAULT_HELD_MEBIBYTES: Long = 64
+private const val DEFAULT_LEDGER_MEBIBYTES: Long = 16
+private const val DEFAULT_RECORD_KIBIBYTES: Int = 64
 private const val DEFAULT_STREAM_BUFFER_KIBIBYTES: Int = 64
--- a/entry/src/main/kotlin/pistachiopass/entry/settings/SettingsCatalogue.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/settings/SettingsCatalogue.kt
@@ -39,6 +39,11 @@
 private val BODY_RANGE = RangeRule(KIBIBYTE..GIBIBYTE, "bytes")
 private val HELD_RANGE = RangeRule(KIBIBYTE..HELD_MAX_GIBIBYTES * GIBIBYTE, "bytes")
 private val STREAM_BUFFER_RANGE = RangeRule(KIBIBYTE..STREAM_BUFFER_MAX_MEBIBYTES * MEBIBYTE, "bytes")
+private const val KEYS_MAX: Long = 1_000_000
+private const val KEY_TIME_MAX_MILLIS: Long = 86_400_000
+private val KEYS_RANGE = RangeRule(1..KEYS_MAX, "keys")
+private val RECORD_RANGE = RangeRule(KIBIBYTE..MEBIBYTE, "bytes")
+private val KEY_TIME_RANGE = RangeRule(TIME_MIN_MILLIS..KEY_TIME_MAX_MILLIS, "milliseconds")
 private val TIME_RANGE = RangeRule(TIME_MIN_MILLIS..TIME_MAX_MILLIS, "milliseconds")
 
 internal val settingsFields: List<SettingsField> =
@@ -69,6 +74,19 @@
         ),
         SettingsField("limits.readIdleMillis", TIME_RANGE, "Longest silence on an open connection to an endpoint."),
         SettingsField("limits.stopMillis", TIME_RANGE, "Longest time from the stop signal to the end of the process."),
+        SettingsField("ledger.keys", KEYS_RANGE, "Idempotency keys that the instance holds at a time."),
+        SettingsField("ledger.heldBytes", HELD_RANGE, "Memory for keys, recorded outcomes and running bookings."),
+        SettingsField(
+            "ledger.recordBytes",
+            RECORD_RANGE,
+            "Longest body of a booking, and longest answer that is recorded.",
+        ),
+        SettingsField(
+            "ledger.keyMillis",
+            KEY_TIME_RANGE,
+            "Time for which an unused key may be used, and for which an outcome is kept.",
+        ),
+        SettingsField("ledger.answerMillis", TIME_RANGE, "Longest silence of a service that has been sent a booking."),
         SettingsField("tls.keyStoreFile", FileRule, "PKCS #12 file with the instance's key and certificate chain."),
         SettingsField("tls.keyStorePasswordFile", FileRule, "File that holds the password of the key store."),
         SettingsField(
@@ -83,18 +101,23 @@
     listOf(
         PairRule("limits.heldBytes", "limits.bodyBytes", "at least limits.bodyBytes", ::isAtLeast),
         PairRule("limits.heldBytes", "limits.streamBufferBytes", "at least limits.streamBufferBytes", ::isAtLeast),
+        PairRule("ledger.heldBytes", "ledger.recordBytes", "at least ledger.recordBytes", ::isAtLeast),
         PairRule("peerAddress", "httpAddress", "an address other than httpAddress", ::canBothBind),
         PairRule("adminAddress", "httpAddress", "an address other than httpAddress", ::canBothBind),
         PairRule("adminAddress", "peerAddress", "an address other than peerAddress", ::canBothBind),
     )
 
 /** Returns the default of the field at [path], or null if it has to be given. */
-internal fun defaultOrNull(path: String): JsonElement? = limitDefaults[path.removePrefix("limits.")]
+internal fun defaultOrNull(path: String): JsonElement? =
+    groupDefaults[path.substringBefore('.')]?.get(path.substringAfter('.'))
 
 private fun isAtLeast(value: JsonPrimitive, other: JsonPrimitive): Boolean = value.long >= other.long
 
 private fun canBothBind(address: JsonPrimitive, other: JsonPrimitive): Boolean =
     address != other || address.content.endsWith(":0")
 
-private val limitDefaults: JsonObject =
-    Json { encodeDefaults = true }.encodeToJsonElement(LimitSettings()) as JsonObject
+private val groupDefaults: Map<String, JsonObject> =
+    mapOf("limits" to defaultsOf(LimitSettings()), "ledger" to defaultsOf(LedgerSettings()))
+
+private inline fun <reified T> defaultsOf(group: T): JsonObject =
+    Json { encodeDefaults = true }.encodeToJsonElement(group) as JsonObject
--- a/entry/src/main/kotlin/pistachiopass/entry/stream/AnswerRelay.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/stream/AnswerRelay.kt
@@ -11,7 +11,6 @@
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.mapBoth
 import io.ktor.client.statement.HttpResponse
-import io.ktor.client.statement.bodyAsBytes
 import io.ktor.client.statement.bodyAsChannel
 import io.ktor.http.ContentType
 import io.ktor.http.Headers
@@ -22,6 +21,7 @@
 import io.ktor.http.isSuccess
 import io.ktor.utils.io.cancel
 import pistachiopass.entry.endpoint.EndpointClient
+import pistachiopass.entry.endpoint.readWholeBody
 import pistachiopass.entry.http.Completion
 import pistachiopass.entry.http.Exchange
 import pistachiopass.entry.http.asEvent
@@ -32,6 +32,7 @@
 import pistachiopass.model.Endpoint
 import pistachiopass.model.Failure
 import pistachiopass.model.FailureCode
+import pistachiopass.model.PoolKind
 import pistachiopass.model.RequestId
 import pistachiopass.model.RouteName
 import pistachiopass.model.VERDICT_HEADER
@@ -76,7 +77,7 @@
         openStream(source, position.ticket.streamId, position.nextOffset) { relayStream(source, position, it) }
 
     private suspend fun relayWhole(exchange: Exchange, response: HttpResponse): Result<Completion, Failure> {
-        val body = response.bodyAsBytes()
+        val body = response.readWholeBody()
         val headers = headers {
             response.headers[HttpHeaders.ContentType]?.let { append(HttpHeaders.ContentType, it) }
             append(VERDICT_HEADER, Verdict.RAN.text)
@@ -154,7 +155,12 @@
         offset: Long,
         receive: suspend (HttpResponse) -> Result<T, Failure>,
     ): Result<T, Failure> =
-        client.exchange(source.endpoint, "/v1/streams/$streamId?offset=$offset", build = {}) { response ->
+        client.exchange(
+            source.endpoint,
+            PoolKind.MODEL,
+            "/v1/streams/$streamId?offset=$offset",
+            build = {}
+        ) { response ->
             if (response.status.isSuccess()) receive(response) else Err(lost(source.endpoint))
         }
 
--- /dev/null
+++ b/entry/src/test/kotlin/pistachiopass/entry/booking/ChunkBoundaryTest.kt
@@ -0,0 +1,16 @@
+/** Shows that an answer that is cut off between two chunks is taken for a whole one by the client library. */
+package pistachiopass.entry.booking
+
+import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.TestFactory
+import pistachiopass.entry.casesOf
+import pistachiopass.model.Verdict
+
+class ChunkBoundaryTest {
+    @TestFactory
+    fun `an answer cut off between two chunks may have run`(): List<DynamicTest> = casesOf(
+        chunkEndsOf(CHUNKED_ANSWER).map { count ->
+            Script("$count of ${CHUNKED_ANSWER.size} bytes, then closed", answer = CHUNKED_ANSWER.copyOf(count))
+        },
+    ) { script -> assertSentOnce(script, Verdict.MAY_HAVE_RUN) }
+}
