Start the peer transport in the daemon, with heartbeats and bootstrap peers

Cause: tables, leases and bookings all need the transport between instances in the running daemon, and an instance that starts without the published list has no address of any peer.

Ruled out: heartbeats to all instances (410 squared a second; the design keeps them inside the data centre); bootstrap addresses without instance ids (the handshake proves the instance that was meant, so the id has to be known).

Change: PeerNetwork joins SocketPeerTransport, addresses from the instance list in force and the new settings field peers (instance@host:port), heartbeats once a second inside the data centre into Reachability, retain on both, and peers in /status. The daemon's start id now has the form that can be ordered, since the handshake compares lives. Handlers are registered on network.transport before network.start.

--- a/entry/src/main/kotlin/pistachiopass/entry/Daemon.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/Daemon.kt
@@ -29,27 +29,29 @@
 import pistachiopass.entry.logging.log
 import pistachiopass.entry.logging.tokenField
 import pistachiopass.entry.metrics.metricsOf
+import pistachiopass.entry.peer.peerNetworkOf
 import pistachiopass.entry.placement.BlindAllocator
 import pistachiopass.entry.platform.TablesController
 import pistachiopass.entry.platform.platformClientOf
 import pistachiopass.entry.settings.Settings
 import pistachiopass.model.DataCentreId
 import pistachiopass.model.Endpoint
-import pistachiopass.model.StartId
+import pistachiopass.peer.startIdOf
 import pistachiopass.routing.affinityChooser
 import pistachiopass.status.InstanceStatus
 import pistachiopass.tables.tablesInForceOf
-import java.util.UUID
+import kotlin.random.Random
 import kotlin.time.TimeSource
 
 /** Runs one instance from [start] to [stop]. */
 public class Daemon(private val settings: Settings) {
     private val startedAt = TimeSource.Monotonic.markNow()
-    private val startId = StartId("${System.currentTimeMillis()}-${UUID.randomUUID()}")
+    private val startId = startIdOf(System.currentTimeMillis(), Random.Default)
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     private val metrics = metricsOf()
     private val memory = heldMemoryOf(settings.limits.heldBytes)
     private val tables = tablesInForceOf()
+    private val network = peerNetworkOf(settings, startId, metrics) { tables.state.value.instances?.value }
     private val platform = platformClientOf(settings.platformAddress, settings.instance)
     private val client = endpointClientOf(settings.limits.readIdleMillis)
     private val loads = LoadController(client, ::endpoints)
@@ -62,6 +64,7 @@
     /** Starts the servers and controllers and returns once the instance is ready. */
     public suspend fun start() {
         log(Event.START)
+        network.start(scope)
         TablesController(platform, tables, ::uptimeMillis).start(scope)
         loads.start(scope)
         servers.forEach { it.startSuspend(wait = false) }
@@ -78,6 +81,7 @@
         if (!drained) EventLog.log(Event.STOP_TIMED_OUT, field("running", stopFilter.runningRequests))
         servers.forEach { it.stopSuspend(SERVER_GRACE_MILLIS, SERVER_GRACE_MILLIS) }
         scope.cancel()
+        network.close()
         client.close()
         platform.close()
         log(Event.STOP_DONE)
@@ -131,6 +135,7 @@
             ready = isReady(),
             uptimeMillis = uptimeMillis(),
             tables = tables.statusAt(uptimeMillis()),
+            peers = network.statuses(),
             heldBytes = memory.heldBytes,
         )
     }
--- /dev/null
+++ b/entry/src/main/kotlin/pistachiopass/entry/peer/PeerNetwork.kt
@@ -0,0 +1,119 @@
+/**
+ * The part of an instance in the network of instances: transport, addresses of peers and heartbeats.
+ *
+ * Addresses come from the published instance list and, for peers that it does not name or before there is one, from the
+ * settings. Heartbeats go to the instances of the own data centre alone, so that their number does not grow with the
+ * square of the fleet.
+ */
+package pistachiopass.entry.peer
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.isActive
+import kotlinx.coroutines.launch
+import kotlinx.serialization.Serializable
+import pistachiopass.entry.HostPort
+import pistachiopass.entry.metrics.Metrics
+import pistachiopass.entry.settings.Settings
+import pistachiopass.entry.tls.tlsMaterialOf
+import pistachiopass.membership.Reachability
+import pistachiopass.model.Instance
+import pistachiopass.model.InstanceId
+import pistachiopass.model.InstanceList
+import pistachiopass.model.StartId
+import pistachiopass.peer.PeerIdentity
+import pistachiopass.peer.PeerMessageType
+import pistachiopass.peer.PeerTransport
+import pistachiopass.peer.peerMessageTypeOf
+import pistachiopass.peer.register
+import pistachiopass.status.PeerStatus
+import java.util.Base64
+import pistachiopass.membership.PeerStatus as HeardStatus
+
+/** Tells the receiver that the sender is alive. */
+@Serializable
+public class Heartbeat
+
+/** Type of [Heartbeat]. */
+public val HEARTBEAT: PeerMessageType<Heartbeat> = peerMessageTypeOf("heartbeat")
+
+/** Returns the network of the instance that [settings] describe; [published] gives the instance list in force. */
+public fun peerNetworkOf(
+    settings: Settings,
+    startId: StartId,
+    metrics: Metrics,
+    published: () -> InstanceList?,
+): PeerNetwork {
+    val self = PeerIdentity(settings.instance, settings.dataCentre, startId)
+    val bootstrap = settings.peers.map(::bootstrapPeerOf).filter { it.instance != self.instance }
+    val addresses = PeerAddresses { peer ->
+        published()?.instances?.find { it.id == peer }?.peerAddress ?: bootstrap.find { it.instance == peer }?.address
+    }
+    val key = Base64.getDecoder().decode(settings.sharedKey)
+    val config = PeerConfig(self, key, addresses, tls = settings.tls?.let { tlsMaterialOf(it).sslContext() })
+    val transport = socketPeerTransportOf(config, metrics)
+    return PeerNetwork(transport, HostPort(settings.peerAddress), bootstrap, published)
+}
+
+/** Holds the transport to the other instances and what their heartbeats say. */
+public class PeerNetwork internal constructor(
+    private val sockets: SocketPeerTransport,
+    private val address: HostPort,
+    bootstrap: List<BootstrapPeer>,
+    private val published: () -> InstanceList?,
+) : AutoCloseable {
+    /** The transport; controllers register their handlers before [start]. */
+    public val transport: PeerTransport get() = sockets
+
+    /** What the heartbeats of the own data centre say. */
+    public val reachability: Reachability = Reachability(SUSPECT_AFTER_MILLIS)
+
+    /** The peers that the settings name, without this instance. */
+    public val bootstrapPeers: Set<InstanceId> = bootstrap.mapTo(LinkedHashSet()) { it.instance }
+
+    init {
+        transport.register(HEARTBEAT) { sender, _ -> reachability.heard(sender.instance) }
+    }
+
+    /** Accepts peers and starts the heartbeats, which end with [scope]. */
+    public suspend fun start(scope: CoroutineScope) {
+        sockets.listen(address.host, address.port)
+        scope.launch {
+            while (isActive) {
+                published()?.let { beat(scope, it) }
+                delay(HEARTBEAT_MILLIS)
+            }
+        }
+    }
+
+    /** Returns what is known of the connection to each published instance of the own data centre. */
+    public fun statuses(): List<PeerStatus> = neighbours(published()).map { peer ->
+        val isReachable = reachability.statusOf(peer.id) == HeardStatus.REACHABLE
+        PeerStatus(peer.id, isReachable, reachability.silenceMillisOrNull(peer.id))
+    }
+
+    /** Drops all connections. */
+    override fun close(): Unit = sockets.close()
+
+    private fun beat(scope: CoroutineScope, list: InstanceList) {
+        val known = list.instances.mapTo(HashSet(bootstrapPeers)) { it.id }
+        sockets.retain(known)
+        reachability.retain(known)
+        val heartbeat = HEARTBEAT.encode(Heartbeat())
+        neighbours(list).forEach { peer -> scope.launch { transport.send(peer.id, heartbeat) } }
+    }
+
+    private fun neighbours(list: InstanceList?): List<Instance> {
+        val self = transport.self
+        return list?.instances.orEmpty().filter { it.dataCentre == self.dataCentre && it.id != self.instance }
+    }
+}
+
+/** Names a peer of the settings and its address. */
+internal data class BootstrapPeer(val instance: InstanceId, val address: String)
+
+private fun bootstrapPeerOf(text: String): BootstrapPeer =
+    BootstrapPeer(InstanceId(text.substringBefore('@')), text.substringAfter('@'))
+
+private const val HEARTBEAT_MILLIS: Long = 1_000
+private const val SUSPECT_AFTER_MILLIS: Long = 3_000
--- a/entry/src/main/kotlin/pistachiopass/entry/settings/FieldRules.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/settings/FieldRules.kt
@@ -1,6 +1,8 @@
 /** Rules that the values of single settings keep. */
 package pistachiopass.entry.settings
 
+import kotlinx.serialization.json.JsonArray
+import kotlinx.serialization.json.JsonElement
 import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.JsonObjectBuilder
 import kotlinx.serialization.json.JsonPrimitive
@@ -18,6 +20,9 @@
     val schema: JsonObject
 
     fun accepts(value: JsonPrimitive): Boolean
+
+    /** Returns whether [value], which may be no primitive, is accepted. */
+    fun acceptsElement(value: JsonElement): Boolean = value is JsonPrimitive && accepts(value)
 }
 
 /** Accepts integers within [range]. */
@@ -61,6 +66,37 @@
     }
 }
 
+/** Accepts a peer as its instance id and address, `i1@10.0.0.1:7001`. */
+internal data object BootstrapPeerRule : FieldRule {
+    private val address = AddressRule(portMin = 1)
+
+    override val expected: String = "instance@host:port with a port from 1 to $PORT_MAX"
+
+    override val schema: JsonObject = stringSchema { put("pattern", "^[A-Za-z0-9][A-Za-z0-9._-]{0,63}@.+:[0-9]{1,5}$") }
+
+    override fun accepts(value: JsonPrimitive): Boolean =
+        value.isString &&
+            NameRule.accepts(JsonPrimitive(value.content.substringBefore('@'))) &&
+            address.accepts(JsonPrimitive(value.content.substringAfter('@', missingDelimiterValue = "")))
+}
+
+/** Accepts arrays of at most [sizeMax] values that [rule] accepts. */
+internal class ListRule(private val rule: FieldRule, private val sizeMax: Int) : FieldRule {
+    override val expected: String = "an array of at most $sizeMax values, each ${rule.expected}"
+
+    override val schema: JsonObject =
+        buildJsonObject {
+            put("type", "array")
+            put("items", rule.schema)
+            put("maxItems", sizeMax)
+        }
+
+    override fun accepts(value: JsonPrimitive): Boolean = false
+
+    override fun acceptsElement(value: JsonElement): Boolean =
+        value is JsonArray && value.size <= sizeMax && value.all(rule::acceptsElement)
+}
+
 /** Accepts keys of at least 32 bytes in base64. */
 internal data object KeyRule : FieldRule {
     private const val BYTES_MIN: Int = 32
--- a/entry/src/main/kotlin/pistachiopass/entry/settings/Settings.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/settings/Settings.kt
@@ -23,6 +23,8 @@
     val platformAddress: String,
     /** Key shared by all instances, in base64, at least 32 bytes; authenticates peers and signs keys and event ids. */
     val sharedKey: String,
+    /** Peers that the instance asks before it knows the published list, each as `instance@host:port`. */
+    val peers: List<String> = emptyList(),
     /** Bounds on what the instance holds for callers. */
     val limits: LimitSettings = LimitSettings(),
     /** Keys for TLS; without them all connections are plain. */
@@ -31,7 +33,8 @@
     /** Returns the settings without the shared key. */
     override fun toString(): String =
         "Settings(instance=$instance, dataCentre=$dataCentre, httpAddress=$httpAddress, peerAddress=$peerAddress, " +
-            "adminAddress=$adminAddress, platformAddress=$platformAddress, sharedKey=$HIDDEN, limits=$limits, tls=$tls)"
+            "adminAddress=$adminAddress, platformAddress=$platformAddress, sharedKey=$HIDDEN, peers=$peers, " +
+            "limits=$limits, tls=$tls)"
 }
 
 /** Bounds on what the instance holds for callers. */
--- a/entry/src/main/kotlin/pistachiopass/entry/settings/SettingsCatalogue.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/settings/SettingsCatalogue.kt
@@ -7,6 +7,7 @@
 package pistachiopass.entry.settings
 
 import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonArray
 import kotlinx.serialization.json.JsonElement
 import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.JsonPrimitive
@@ -34,6 +35,7 @@
 private const val GIBIBYTE: Long = 1024 * MEBIBYTE
 private const val HELD_MAX_GIBIBYTES: Long = 64
 private const val STREAM_BUFFER_MAX_MEBIBYTES: Long = 16
+private const val PEERS_MAX: Int = 64
 private const val TIME_MIN_MILLIS: Long = 100
 private const val TIME_MAX_MILLIS: Long = 3_600_000
 private val BODY_RANGE = RangeRule(KIBIBYTE..GIBIBYTE, "bytes")
@@ -59,6 +61,11 @@
             "Key shared by all instances; authenticates peers and signs keys and event ids.",
             secret = true,
         ),
+        SettingsField(
+            "peers",
+            ListRule(BootstrapPeerRule, PEERS_MAX),
+            "Peers to ask for the tables at start, before the published list is known.",
+        ),
         SettingsField("limits.bodyBytes", BODY_RANGE, "Longest request body that is read."),
         SettingsField("limits.heldBytes", HELD_RANGE, "Memory for request bodies and stream buffers together."),
         SettingsField("limits.streamBufferBytes", STREAM_BUFFER_RANGE, "Buffer of one stream."),
@@ -89,7 +96,8 @@
     )
 
 /** Returns the default of the field at [path], or null if it has to be given. */
-internal fun defaultOrNull(path: String): JsonElement? = limitDefaults[path.removePrefix("limits.")]
+internal fun defaultOrNull(path: String): JsonElement? =
+    if (path == "peers") JsonArray(emptyList()) else limitDefaults[path.removePrefix("limits.")]
 
 private fun isAtLeast(value: JsonPrimitive, other: JsonPrimitive): Boolean = value.long >= other.long
 
--- a/entry/src/main/kotlin/pistachiopass/entry/settings/SettingsReader.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/settings/SettingsReader.kt
@@ -97,7 +97,7 @@
     }
 
     private fun checkField(field: SettingsField, value: JsonElement) {
-        if (value is JsonPrimitive && field.rule.accepts(value)) return
+        if (field.rule.acceptsElement(value)) return
         report(field.path, SettingsProblem.INVALID, field.rule.expected, if (field.secret) HIDDEN else textOf(value))
     }
 
--- a/entry/src/test/kotlin/pistachiopass/entry/settings/SettingsReaderTest.kt
+++ b/entry/src/test/kotlin/pistachiopass/entry/settings/SettingsReaderTest.kt
@@ -107,6 +107,9 @@
                     "9:10: tls.keyStorePasswordFile is missing; expected the name of a file\n" +
                     "9:10: tls.trustStorePasswordFile is missing; expected the name of a file\n" +
                     "9:50: tls.trustStoreFile is \" \"; expected the name of a file",
+                ("\"limits\": {\"heldBytes\": 99000000}" to "\"peers\": [\"i2@10.0.0.1:7000\", \"10.0.0.2:7000\"]") to
+                    "9:12: peers is an array; expected an array of at most 64 values, " +
+                    "each instance@host:port with a port from 1 to 65535",
                 ("\"i1\"," to "\"i1\"") to "3:4: the file is not JSON; expected well-formed JSON",
             )
     }
