--- a/entry/src/main/kotlin/pistachiopass/entry/http/HostPort.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/HostPort.kt
@@ -1,5 +1,5 @@
 /** Addresses of the form `host:port`. */
-package pistachiopass.entry.http
+package pistachiopass.entry
 
 /** Splits [address], which has been checked to be `host:port`. */
 internal class HostPort(address: String) {
--- a/standins/src/main/kotlin/pistachiopass/standins/engine/EngineSettings.kt
+++ b/standins/src/main/kotlin/pistachiopass/standins/engine/EngineSettings.kt
@@ -2,7 +2,7 @@
 package pistachiopass.standins.engine
 
 /** Holds the settings of one stand-in engine. */
-internal data class EngineSettings(
+public data class EngineSettings(
     val endpoint: String = "e1",
     /** KV memory; the engine falls over when the requests it holds exceed it. */
     val capacityTokens: Long = 200_000,
