Queue requests fairly with ageing, predict first tokens and confine long prompts

Cause: an owner's endpoints are shared by workspaces and by prompts of very different length; first come, first served lets a long prompt block short ones, shortest first starves the long, and both let one workspace flood. Change: a queue with start-time fair queueing on tokens, classes, deadlines, ageing and one reservation; a least-squares predictor of the first token; a number of endpoints for long prompts with hysteresis, which the chooser keeps to; a simulation with a wrong variant for each invariant.

--- a/coordination/src/main/kotlin/pistachiopass/queue/AdmissionQueue.kt
+++ b/coordination/src/main/kotlin/pistachiopass/queue/AdmissionQueue.kt
@@ -23,6 +23,9 @@
     /** When the first token is due; a request that is predicted to miss it is refused. */
     val firstTokenByMillis: Long = untilMillis,
 ) {
+    /** When the request must have started; its wait ends then. */
+    val startByMillis: Long get() = minOf(untilMillis, firstTokenByMillis)
+
     init {
         require(promptTokens in 0..tokens) { "promptTokens must be in 0..$tokens, was $promptTokens" }
     }
@@ -60,6 +63,12 @@
     /** Removes a request, if it is there. */
     public fun remove(id: RequestId)
 
+    /**
+     * Takes note that a request which was taken has ended, so that others may have its place beside a reservation; a
+     * queue that is not told only holds back more than it need.
+     */
+    public fun ended(id: RequestId)
+
     /** Returns the tokens of the requests that are due before [waiting] if it arrives now. */
     public fun tokensAhead(waiting: Waiting): Long
 }
--- /dev/null
+++ b/coordination/src/main/kotlin/pistachiopass/queue/FairQueue.kt
@@ -0,0 +1,130 @@
+/**
+ * An admission queue that is fair between workspaces, prefers short prompts, and lets no request wait for ever.
+ *
+ * Between workspaces it is start-time fair queueing on tokens (Goyal, Vin and Cheng, 1996): each workspace has a start
+ * tag that rises by the tokens it is served. A request's key is the tag it would reach, so that of two workspaces with
+ * equal tags the one with the shorter request goes first. Within a workspace the shorter class goes first, and within
+ * a class the earliest deadline. A request that has waited for its ageing time goes before all of its own workspace,
+ * and its key falls below the start tag by its own tokens. If it does not fit then, room is reserved for it. So a
+ * request starts at the latest after its ageing time and, for itself and each reservation that comes before its own,
+ * the longest run of a request.
+ */
+package pistachiopass.queue
+
+import pistachiopass.model.RequestId
+import pistachiopass.model.WorkspaceId
+import pistachiopass.routing.PromptClass
+
+/** Bounds a queue. */
+public data class QueueLimits(
+    /** Requests that may wait. */
+    val requests: Int = DEFAULT_QUEUED_REQUESTS,
+    /** Time after which a request of a class counts as overdue; at most half of its own limit is waited for that. */
+    val ageingMillis: (PromptClass) -> Long = PromptClass::ageingMillis,
+)
+
+/** Holds what an endpoint can hold in all. */
+public data class QueueBudget(val tokens: Long, val slots: Int)
+
+/**
+ * Returns an empty queue for an endpoint of the present [budget]; [nowMillis] reads the clock on which requests state
+ * their times.
+ */
+public fun admissionQueueOf(
+    nowMillis: () -> Long,
+    budget: () -> QueueBudget,
+    forecast: FirstTokenForecast,
+    limits: QueueLimits = QueueLimits(),
+): AdmissionQueue {
+    require(limits.requests > 0) { "requests must be positive, was ${limits.requests}" }
+    return FairQueue(nowMillis, budget, forecast, limits)
+}
+
+private class FairQueue(
+    private val nowMillis: () -> Long,
+    private val budget: () -> QueueBudget,
+    private val forecast: FirstTokenForecast,
+    private val limits: QueueLimits,
+) : AdmissionQueue {
+    private val requests: HashMap<RequestId, QueuedRequest> = HashMap()
+    private val backlogs: WorkspaceBacklogs = WorkspaceBacklogs()
+    private var reservation: Reservation? = null
+
+    override val size: Int get() = requests.size
+
+    override fun offer(waiting: Waiting): Refusal? {
+        if (waiting.id in requests) return null
+        val refusal = refusalOrNull(waiting)
+        if (refusal == null) {
+            val request = queuedRequestOf(waiting, limits.ageingMillis(waiting.promptClass))
+            requests[waiting.id] = request
+            backlogs.add(request)
+        }
+        return refusal
+    }
+
+    override fun takeNext(fits: (Waiting) -> Boolean): Waiting? {
+        val now = nowMillis()
+        val reserved = reservation?.request
+        val next = reserved?.takeIf { it.isWaitingAt(now) && fits(it.waiting) } ?: firstThatFits(now, fits)
+        return next?.let(::take)
+    }
+
+    override fun expire(nowMillis: Long): List<Waiting> {
+        val ended = requests.values.filterNot { it.isWaitingAt(nowMillis) }
+        ended.forEach(::drop)
+        return ended.map { it.waiting }
+    }
+
+    override fun remove(id: RequestId) {
+        requests[id]?.let(::drop)
+    }
+
+    override fun ended(id: RequestId) {
+        reservation?.ended(id)
+    }
+
+    override fun tokensAhead(waiting: Waiting): Long {
+        val held = reservation?.takeUnless { it.admits(waiting) || it.workspace == waiting.workspace }
+        return backlogs.tokensAhead(waiting) + (held?.request?.waiting?.tokens ?: 0)
+    }
+
+    private fun refusalOrNull(waiting: Waiting): Refusal? {
+        val predictedMillis = forecast.firstTokenMillis(waiting.promptTokens, tokensAhead(waiting))
+        val lateMillis = nowMillis() + predictedMillis - waiting.startByMillis
+        return when {
+            lateMillis > 0 -> Refusal(RefusalReason.TOO_LATE, lateMillis)
+            isFullFor(waiting.workspace) -> Refusal(RefusalReason.QUEUE_FULL, maxOf(1, predictedMillis))
+            else -> null
+        }
+    }
+
+    /** A workspace may hold as many places as are free, so that one that floods always leaves some to the others. */
+    private fun isFullFor(workspace: WorkspaceId): Boolean =
+        backlogs.sizeOf(workspace) >= limits.requests - requests.size
+
+    private fun firstThatFits(now: Long, fits: (Waiting) -> Boolean): QueuedRequest? {
+        for (candidate in backlogs.candidatesAt(now)) {
+            val held = reservation
+            val isAdmitted = held == null || held.admits(candidate.request.waiting)
+            if (isAdmitted && fits(candidate.request.waiting)) return candidate.request
+            if (held == null && candidate.isOverdue) reservation = reservationFor(candidate.request, budget())
+        }
+        return null
+    }
+
+    private fun take(request: QueuedRequest): Waiting {
+        reservation?.started(request.waiting)
+        backlogs.serve(request)
+        drop(request)
+        return request.waiting
+    }
+
+    private fun drop(request: QueuedRequest) {
+        requests.remove(request.waiting.id)
+        backlogs.remove(request)
+        if (reservation?.request === request) reservation = null
+    }
+}
+
+private const val DEFAULT_QUEUED_REQUESTS: Int = 1_024
--- /dev/null
+++ b/coordination/src/main/kotlin/pistachiopass/queue/FirstTokenPredictor.kt
@@ -0,0 +1,89 @@
+/**
+ * Prediction of the time to the first token, learnt from the requests that an endpoint has served.
+ *
+ * The model is linear: a constant, a time per token of the prompt and a time per token that waits ahead in the queue.
+ * Coefficients are those of a least-squares fit in which older samples count exponentially less and the defaults
+ * count like a few samples of their own.
+ */
+package pistachiopass.queue
+
+import kotlin.math.roundToLong
+
+/** Predicts the time from arrival to the first token. */
+public fun interface FirstTokenForecast {
+    /** Returns the predicted time, in milliseconds, for a prompt that arrives with [tokensAhead] waiting before it. */
+    public fun firstTokenMillis(promptTokens: Long, tokensAhead: Long): Long
+}
+
+/** Holds what was observed of one request: [tokensAhead] at its arrival and the time to its first token. */
+public data class FirstTokenSample(
+    val promptTokens: Long,
+    val tokensAhead: Long,
+    val firstTokenMillis: Long,
+    /** Whether the endpoint was in a cold start; such a sample is not learnt from. */
+    val isCold: Boolean = false,
+    /** Whether the request was given up after [firstTokenMillis] without a first token, which is learnt as too short. */
+    val isGivenUp: Boolean = false,
+)
+
+/** Holds the times that are assumed until an endpoint has served enough requests. */
+public data class FirstTokenDefaults(
+    val constantMillis: Double = 100.0,
+    val millisPerPromptToken: Double = 0.1,
+    val millisPerTokenAhead: Double = 0.1,
+)
+
+/** Returns a predictor that has learnt nothing yet. */
+public fun firstTokenPredictorOf(defaults: FirstTokenDefaults = FirstTokenDefaults()): FirstTokenPredictor =
+    FirstTokenPredictor(defaults)
+
+/** Learns the slopes of one endpoint; callers guard it against concurrent use. */
+public class FirstTokenPredictor internal constructor(defaults: FirstTokenDefaults) : FirstTokenForecast {
+    private val fit: WeightedLeastSquares = WeightedLeastSquares(
+        prior = doubleArrayOf(
+            defaults.constantMillis,
+            defaults.millisPerPromptToken * TOKENS_PER_UNIT,
+            defaults.millisPerTokenAhead * TOKENS_PER_UNIT,
+        ),
+        priorWeight = PRIOR_WEIGHT,
+        retention = RETENTION,
+    )
+    private var samples: Int = 0
+
+    /** Whether enough requests were served for the prediction to rest on them. */
+    public val isLearnt: Boolean get() = samples >= LEARNT_SAMPLES
+
+    /**
+     * Returns the prediction; while nothing is learnt, one of zero for a request with nothing ahead of it, since
+     * refusing that one would keep the endpoint from ever being learnt.
+     */
+    override fun firstTokenMillis(promptTokens: Long, tokensAhead: Long): Long =
+        if (!isLearnt && tokensAhead == 0L) 0 else fitted(promptTokens, tokensAhead).roundToLong()
+
+    /** Takes in a sample; one far off the prediction counts as if it were off by a factor of [OUTLIER_FACTOR]. */
+    public fun learn(sample: FirstTokenSample) {
+        val predicted = fitted(sample.promptTokens, sample.tokensAhead)
+        val observed = sample.firstTokenMillis.toDouble()
+        if (sample.isCold || sample.isGivenUp && observed < predicted) return
+        val bounded = if (isLearnt) {
+            observed.coerceIn(predicted / OUTLIER_FACTOR, predicted * OUTLIER_FACTOR)
+        } else {
+            observed
+        }
+        val features = featuresOf(sample.promptTokens, sample.tokensAhead)
+        fit.add(features, bounded, weight = 1 / features.sum())
+        samples++
+    }
+
+    private fun fitted(promptTokens: Long, tokensAhead: Long): Double =
+        maxOf(1.0, fit.valueAt(featuresOf(promptTokens, tokensAhead)))
+
+    private fun featuresOf(promptTokens: Long, tokensAhead: Long): DoubleArray =
+        doubleArrayOf(1.0, promptTokens / TOKENS_PER_UNIT, tokensAhead / TOKENS_PER_UNIT)
+}
+
+private const val TOKENS_PER_UNIT: Double = 1_000.0
+private const val PRIOR_WEIGHT: Double = 0.05
+private const val RETENTION: Double = 0.98
+private const val LEARNT_SAMPLES: Int = 8
+private const val OUTLIER_FACTOR: Double = 4.0
--- /dev/null
+++ b/coordination/src/main/kotlin/pistachiopass/queue/Reservation.kt
@@ -0,0 +1,37 @@
+/**
+ * Room that is reserved for an overdue request which does not fit yet.
+ *
+ * Until it starts, others may start only within what the endpoint holds besides it. So it fits at the latest when the
+ * requests that ran at the time of the reservation have ended.
+ */
+package pistachiopass.queue
+
+import pistachiopass.model.RequestId
+import pistachiopass.model.WorkspaceId
+
+/** Keeps the room of [tokens] and [slots] that others may hold beside [request]. */
+internal class Reservation(val request: QueuedRequest, private var tokens: Long, private var slots: Int) {
+    private val started: HashMap<RequestId, Long> = HashMap()
+
+    val workspace: WorkspaceId get() = request.waiting.workspace
+
+    /** Returns whether [other] may start before [request]. */
+    fun admits(other: Waiting): Boolean = other.tokens <= tokens && slots > 0
+
+    /** Takes note that [other] starts. */
+    fun started(other: Waiting) {
+        started[other.id] = other.tokens
+        tokens -= other.tokens
+        slots--
+    }
+
+    /** Gives back the room of a request that started since the reservation and has ended. */
+    fun ended(id: RequestId) {
+        tokens += started.remove(id) ?: return
+        slots++
+    }
+}
+
+/** Returns a reservation on an endpoint of this [budget]. */
+internal fun reservationFor(request: QueuedRequest, budget: QueueBudget): Reservation =
+    Reservation(request, budget.tokens - request.waiting.tokens, budget.slots - 1)
--- /dev/null
+++ b/coordination/src/main/kotlin/pistachiopass/queue/WorkspaceBacklogs.kt
@@ -0,0 +1,52 @@
+/** The waiting requests of all workspaces with the tags that make them take fair turns. */
+package pistachiopass.queue
+
+import pistachiopass.model.WorkspaceId
+
+/** Orders the requests of an endpoint over workspaces. */
+internal class WorkspaceBacklogs {
+    private val backlogs: LinkedHashMap<WorkspaceId, WorkspaceBacklog> = LinkedHashMap()
+    private val tags: FairTags = FairTags()
+
+    /** Returns how many requests of [workspace] wait. */
+    fun sizeOf(workspace: WorkspaceId): Int = backlogs[workspace]?.size ?: 0
+
+    fun add(request: QueuedRequest) {
+        val workspace = request.waiting.workspace
+        tags.enter(workspace)
+        backlogs.getOrPut(workspace) { WorkspaceBacklog(workspace) }.add(request)
+    }
+
+    fun remove(request: QueuedRequest) {
+        val backlog = backlogs.getValue(request.waiting.workspace)
+        backlog.remove(request)
+        if (backlog.size == 0) backlogs.remove(backlog.workspace)
+        tags.retain(backlogs.keys)
+    }
+
+    /** Charges the request to its workspace. */
+    fun serve(request: QueuedRequest): Unit = tags.serve(request.waiting.workspace, request.waiting.tokens)
+
+    /** Returns the requests that may be next, the least key first. */
+    fun candidatesAt(nowMillis: Long): List<Candidate> = backlogs.values
+        .flatMap { it.candidatesAt(nowMillis, tags.startOf(it.workspace)) }
+        .sortedWith(BY_KEY)
+
+    /**
+     * Returns the tokens that go before [waiting] by the present tags: of its own workspace those of no longer class,
+     * of each other one as many as its tag lags behind the key of [waiting].
+     */
+    fun tokensAhead(waiting: Waiting): Long {
+        val key = tags.startOf(waiting.workspace) + waiting.tokens
+        return backlogs.values.sumOf { backlog ->
+            if (backlog.workspace == waiting.workspace) {
+                backlog.tokensUpTo(waiting.promptClass)
+            } else {
+                (key - tags.startOf(backlog.workspace)).coerceIn(0, backlog.tokens)
+            }
+        }
+    }
+}
+
+private val BY_KEY: Comparator<Candidate> =
+    compareBy({ it.key }, { it.request.startByMillis }, { it.request.idText })
--- a/coordination/src/main/kotlin/pistachiopass/routing/EndpointChooser.kt
+++ b/coordination/src/main/kotlin/pistachiopass/routing/EndpointChooser.kt
@@ -39,6 +39,12 @@
     @SerialName("request exceeds the endpoint's memory")
     TOO_SMALL,
 
+    @SerialName("reserved for long prompts")
+    RESERVED_FOR_LONG,
+
+    @SerialName("reserved for short prompts")
+    RESERVED_FOR_SHORT,
+
     @SerialName("no room at the moment")
     FULL,
 
@@ -78,7 +84,8 @@
     val ranked = pool.endpoints.rankedFor(facts.affinityKey()) { it.id.value }
     val (near, far) = ranked.partition { it.dataCentre == view.dataCentre }
     val ordered = near + far
-    val reasons = ordered.associateWith { candidateReason(it, facts, pool.kind, view) }
+    val unconfined = ordered.associateWith { candidateReason(it, facts, pool.kind, view) }
+    val reasons = if (pool.kind == PoolKind.MODEL) confined(unconfined, facts, view) else unconfined
     val chosen = underBound(near, reasons, view, loadFactor) ?: underBound(far, reasons, view, loadFactor)
     return Choice(
         endpoint = chosen,
@@ -91,6 +98,36 @@
     )
 }
 
+/**
+ * Returns the reasons after confinement of long prompts, which concerns the own data centre only.
+ *
+ * A long prompt goes to no other endpoint there, unless those for long prompts could not take it even when empty. A
+ * short one passes over the endpoints for long prompts as long as another one is eligible.
+ */
+private fun confined(
+    reasons: Map<Endpoint, CandidateReason>,
+    facts: RequestFacts,
+    view: FleetView,
+): Map<Endpoint, CandidateReason> {
+    val (forLong, forShort) = reasons.keys.filter { it.dataCentre == view.dataCentre }
+        .partition { it.id in view.longPromptEndpoints }
+    val isLong = promptClassOf(facts.promptTokens).isLong
+    val isConfined = if (isLong) {
+        forLong.any { reasons.getValue(it) in HAS_OR_GETS_ROOM }
+    } else {
+        forShort.any { reasons[it] == CandidateReason.ELIGIBLE }
+    }
+    if (!isConfined) return reasons
+    val passedOver = if (isLong) forShort else forLong
+    val reason = if (isLong) CandidateReason.RESERVED_FOR_SHORT else CandidateReason.RESERVED_FOR_LONG
+    return reasons.mapValues { (endpoint, own) ->
+        if (endpoint in passedOver && own in HAS_OR_GETS_ROOM) reason else own
+    }
+}
+
+private val HAS_OR_GETS_ROOM: Set<CandidateReason> =
+    setOf(CandidateReason.ELIGIBLE, CandidateReason.FULL, CandidateReason.COLD_FULL)
+
 private fun RequestFacts.affinityKey(): String = "$workspace/$prefixDigest"
 
 private fun underBound(
--- a/coordination/src/main/kotlin/pistachiopass/routing/FleetView.kt
+++ b/coordination/src/main/kotlin/pistachiopass/routing/FleetView.kt
@@ -20,6 +20,8 @@
     val dataCentre: DataCentreId,
     val dataCentresOut: Set<DataCentreId> = emptySet(),
     val loads: Map<EndpointId, EndpointLoad> = emptyMap(),
+    /** Endpoints to which long prompts are confined; empty where there is no confinement. */
+    val longPromptEndpoints: Set<EndpointId> = emptySet(),
 ) {
     /** Returns the known load, or that of an endpoint of which nothing is known yet: cold and empty. */
     public fun loadOf(endpoint: EndpointId): EndpointLoad = loads[endpoint] ?: UNKNOWN_LOAD
--- /dev/null
+++ b/coordination/src/test/kotlin/pistachiopass/queue/QueueSimulation.kt
@@ -0,0 +1,227 @@
+/**
+ * A discrete-event simulation in virtual time of one owner with several endpoints, each with its own queue.
+ *
+ * An endpoint has memory, slots and one prefill unit that works on the most urgent prompt first; after its prefill a
+ * request holds its room for a fixed time per token of the answer.
+ */
+package pistachiopass.queue
+
+import pistachiopass.model.DataCentreId
+import pistachiopass.model.Endpoint
+import pistachiopass.model.EndpointId
+import pistachiopass.model.Pool
+import pistachiopass.model.PoolKind
+import pistachiopass.model.PoolName
+import pistachiopass.model.RequestId
+import pistachiopass.model.WorkspaceId
+import pistachiopass.routing.EndpointLoad
+import pistachiopass.routing.FleetView
+import pistachiopass.routing.LongPromptConfinement
+import pistachiopass.routing.RequestFacts
+import pistachiopass.routing.affinityChooser
+import pistachiopass.routing.longPromptConfinementOf
+import pistachiopass.routing.longPromptEndpoints
+import pistachiopass.routing.promptClassOf
+import java.util.PriorityQueue
+import kotlin.random.Random
+
+/** One request of the load and what became of it; times are in microseconds. */
+internal class Job(
+    val number: Int,
+    val workspace: String,
+    val promptTokens: Long,
+    val answerTokens: Long,
+    val arrivalMicros: Long,
+    val limitMillis: Long,
+) {
+    var refusal: Refusal? = null
+    var isExpired: Boolean = false
+    var tokensAhead: Long = 0
+    var startMicros: Long? = null
+    var firstTokenMicros: Long? = null
+    var endMicros: Long? = null
+    var leftMicros: Long = promptTokens * PREFILL_MICROS
+
+    val promptClass get() = promptClassOf(promptTokens)
+    val waitMillis: Long? get() = startMicros?.let { (it - arrivalMicros) / MICROS }
+    val firstTokenMillis: Long? get() = firstTokenMicros?.let { (it - arrivalMicros) / MICROS }
+
+    fun toWaiting() = Waiting(
+        RequestId("r%06d".format(number)), WorkspaceId(workspace), promptTokens, promptTokens + answerTokens,
+        arrivalMicros / MICROS, arrivalMicros / MICROS + limitMillis,
+    )
+}
+
+/** How the endpoints are set up. */
+internal data class Rig(
+    val policy: QueueMaker = Policy.FAIR,
+    val endpoints: Int = 4,
+    val isConfined: Boolean = true,
+    val hasEnginePriority: Boolean = true,
+    val budget: QueueBudget = QueueBudget(300_000, 12),
+)
+
+/** Runs [jobs] to their end and leaves the outcome in them. */
+internal fun Rig.run(jobs: List<Job>): List<Job> {
+    Simulation(this).run(jobs)
+    return jobs
+}
+
+private class Simulation(private val rig: Rig) {
+    private val events = PriorityQueue<Event>(compareBy({ it.micros }, { it.number }))
+    private var nowMicros: Long = 0
+    private var eventCount: Long = 0
+    private val pool = Pool(
+        PoolName("p"), PoolKind.MODEL,
+        List(rig.endpoints) {
+            Endpoint(
+                EndpointId("e$it"), DATA_CENTRE, "", budgetTokens = rig.budget.tokens, slots = rig.budget.slots,
+            )
+        },
+    )
+    private val engines = pool.endpoints.associate { it.id to Engine() }
+    private val confinement: LongPromptConfinement = longPromptConfinementOf()
+
+    fun run(jobs: List<Job>) {
+        jobs.forEach { job -> at(job.arrivalMicros) { arrive(job) } }
+        while (true) {
+            val event = events.poll() ?: break
+            nowMicros = event.micros
+            event.action()
+        }
+    }
+
+    private fun at(micros: Long, action: () -> Unit) {
+        events += Event(micros, eventCount++, action)
+    }
+
+    private fun arrive(job: Job) {
+        val engine = engineFor(job)
+        val waiting = job.toWaiting()
+        job.tokensAhead = engine.queue.tokensAhead(waiting)
+        engine.jobs[waiting.id] = job
+        job.refusal = engine.queue.offer(waiting)
+        at((waiting.startByMillis) * MICROS) { engine.dispatch() }
+        engine.dispatch()
+    }
+
+    private fun engineFor(job: Job): Engine {
+        val choice = affinityChooser().choose(
+            RequestFacts("", WorkspaceId(job.workspace), null, job.promptTokens, job.answerTokens, "${job.number}"),
+            pool,
+            FleetView(DATA_CENTRE, emptySet(), engines.mapValues { it.value.load() }, confinedTo()),
+        )
+        val waitingFor = choice.candidates.filter { it.reason.name == "FULL" }.map { engines.getValue(it.endpoint) }
+        return choice.endpoint?.let { engines.getValue(it.id) } ?: waitingFor.minBy { it.backlogTokens() }
+    }
+
+    private fun confinedTo(): Set<EndpointId> {
+        if (!rig.isConfined) return emptySet()
+        val share = engines.values.sumOf { it.longTokens() }.toDouble() / (rig.budget.tokens * rig.endpoints)
+        return longPromptEndpoints(pool, DATA_CENTRE, confinement.update(share.coerceAtMost(1.0), rig.endpoints))
+    }
+
+    private inner class Engine {
+        val jobs = HashMap<RequestId, Job>()
+        private val predictor = firstTokenPredictorOf()
+        val queue = rig.policy.make({ nowMicros / MICROS }, { rig.budget }, predictor)
+        private val running = LinkedHashSet<Job>()
+        private var active: Job? = null
+        private var activeSince: Long = 0
+
+        fun load() = EndpointLoad(heldTokens = held(), heldSlots = running.size + queue.size)
+
+        fun backlogTokens() = held() + queue.tokensAhead(LAST)
+
+        fun longTokens() = running.filter { it.promptClass.isLong }.sumOf { it.promptTokens + it.answerTokens }
+
+        private fun held() = running.sumOf { it.promptTokens + it.answerTokens }
+
+        fun dispatch() {
+            queue.expire(nowMicros / MICROS).forEach { giveUp(jobs.getValue(it.id)) }
+            while (true) {
+                val next = queue.takeNext { it.tokens + held() <= rig.budget.tokens && running.size < rig.budget.slots }
+                start(jobs.getValue((next ?: return).id))
+            }
+        }
+
+        private fun giveUp(job: Job) {
+            job.isExpired = true
+            val waitedMillis = (nowMicros - job.arrivalMicros) / MICROS
+            predictor.learn(FirstTokenSample(job.promptTokens, job.tokensAhead, waitedMillis, isGivenUp = true))
+        }
+
+        private fun start(job: Job) {
+            job.startMicros = nowMicros
+            running += job
+            schedule()
+        }
+
+        private fun schedule() {
+            active?.let { it.leftMicros -= nowMicros - activeSince }
+            val urgency = compareBy<Job>({ if (rig.hasEnginePriority) it.promptClass.priority else 0 }, { it.startMicros })
+            val next = running.filter { it.firstTokenMicros == null }.minWithOrNull(urgency)
+            active = next
+            activeSince = nowMicros
+            next?.let { at(nowMicros + it.leftMicros) { onPrefilled(it) } }
+        }
+
+        private fun onPrefilled(job: Job) {
+            if (active !== job || nowMicros - activeSince < job.leftMicros) return
+            job.firstTokenMicros = nowMicros
+            active = null
+            predictor.learn(FirstTokenSample(job.promptTokens, job.tokensAhead, checkNotNull(job.firstTokenMillis)))
+            at(nowMicros + job.answerTokens * DECODE_MICROS) { end(job) }
+            schedule()
+        }
+
+        private fun end(job: Job) {
+            job.endMicros = nowMicros
+            running -= job
+            queue.ended(job.toWaiting().id)
+            dispatch()
+        }
+    }
+
+    private class Event(val micros: Long, val number: Long, val action: () -> Unit)
+}
+
+/** Bounds of prompts in tokens and their part of all requests. */
+internal val MIX: List<Pair<LongRange, Double>> =
+    listOf(1_000L..4_000L to 0.70, 4_001L..16_000L to 0.22, 16_001L..100_000L to 0.06, 100_001L..250_000L to 0.02)
+
+/** Returns Poisson arrivals of [MIX] at [load] of the prefill capacity of [endpoints]; workspace w0 sends half. */
+internal fun arrivals(seed: Int, load: Double, seconds: Int = 300, endpoints: Int = 4): List<Job> {
+    val random = Random(seed)
+    val meanTokens = MIX.sumOf { (range, part) -> (range.first + range.last) / 2 * part }
+    val gapMicros = meanTokens * PREFILL_MICROS / endpoints / load
+    var micros = 0.0
+    val jobs = ArrayList<Job>()
+    while (micros < seconds * 1e6) {
+        micros -= gapMicros * kotlin.math.ln(1 - random.nextDouble())
+        val prompt = random.nextLong(random.rangeOfMix())
+        val workspace = if (random.nextBoolean()) 0 else random.nextInt(1, WORKSPACES)
+        val limitMillis = if (promptClassOf(prompt).isLong) LONG_LIMIT_MILLIS else SHORT_LIMIT_MILLIS
+        jobs += Job(jobs.size, "w$workspace", prompt, random.nextLong(50, 150), micros.toLong(), limitMillis)
+    }
+    return jobs
+}
+
+private fun Random.nextLong(range: LongRange): Long = nextLong(range.first, range.last + 1)
+
+private fun Random.rangeOfMix(): LongRange {
+    var left = nextDouble()
+    return MIX.firstOrNull { (_, part) -> (left < part).also { left -= part } }?.first ?: MIX.last().first
+}
+
+/** Returns the value below which [percent] in 100 of these lie. */
+internal fun List<Long>.percentile(percent: Int): Long = sorted()[(size - 1) * percent / 100]
+
+internal const val MICROS: Long = 1_000
+internal const val PREFILL_MICROS: Long = 20
+internal const val DECODE_MICROS: Long = 20_000
+internal const val SHORT_LIMIT_MILLIS: Long = 10_000
+internal const val LONG_LIMIT_MILLIS: Long = 60_000
+private const val WORKSPACES: Int = 10
+private val DATA_CENTRE = DataCentreId("d")
+private val LAST = Waiting(RequestId("~"), WorkspaceId("~"), 1_000_000_000, 1_000_000_000, 0, Long.MAX_VALUE)
--- /dev/null
+++ b/coordination/src/test/kotlin/pistachiopass/queue/QueueSimulationTest.kt
@@ -0,0 +1,121 @@
+/**
+ * Invariants of the queue over simulated runs; for each there is a variant that breaks it and that the check catches.
+ *
+ * The figures of docs/design/queue.md are those that `prints the figures` writes.
+ */
+package pistachiopass.queue
+
+import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.TestFactory
+import pistachiopass.routing.PromptClass
+import kotlin.math.abs
+import kotlin.test.Test
+import kotlin.test.assertEquals
+
+class QueueSimulationTest {
+    private class Check(val name: String, val wrong: List<Policy>, val problem: (Policy, Int) -> String?)
+
+    @TestFactory
+    fun `each invariant holds and catches its wrong variants`() = listOf(
+        Check("no class waits for ever", listOf(Policy.NO_AGEING, Policy.SHORTEST_FIRST), ::starvationOrNull),
+        Check("workspaces get equal shares", listOf(Policy.NO_FAIRNESS, Policy.FIFO), ::unfairnessOrNull),
+        Check("admitted requests start by their limit", listOf(Policy.NO_LIMIT), ::latenessOrNull),
+        Check("short requests are not blocked", listOf(Policy.FIFO, Policy.NO_LIMIT), ::slowdownOrNull),
+    ).flatMap { check ->
+        SEEDS.flatMap { seed ->
+            listOf(DynamicTest.dynamicTest("${check.name}, seed $seed") { assertEquals(null, check.problem(Policy.FAIR, seed)) }) +
+                check.wrong.map { policy ->
+                    DynamicTest.dynamicTest("${check.name}, seed $seed, caught: $policy") {
+                        println("${check.name}, seed $seed, $policy: " + checkNotNull(check.problem(policy, seed)))
+                    }
+                }
+        }
+    }
+
+    @Test
+    fun `prints the figures`() {
+        for (load in listOf(0.5, 0.8, 0.95, 1.5)) {
+            for (policy in listOf(Policy.FAIR, Policy.FIFO, Policy.SHORTEST_FIRST, Policy.NO_AGEING)) {
+                println(figures("$policy", Rig(policy), load))
+            }
+            println(figures("FAIR, unconfined", Rig(isConfined = false), load))
+            println(figures("FAIR, no engine priority", Rig(hasEnginePriority = false), load))
+        }
+    }
+
+    private fun figures(name: String, rig: Rig, load: Double): String {
+        val alone = rig.run(arrivals(FIGURES_SEED, load).filterNot { it.promptClass.isLong })
+        val jobs = rig.run(arrivals(FIGURES_SEED, load))
+        val (long, short) = jobs.partition { it.promptClass.isLong }
+        val served = jobs.filter { it.endMicros != null }.sumOf { it.promptTokens }.toDouble()
+        val cells = listOf(
+            load, name,
+            "%.2f".format(short.firstTokens().percentile(95).toDouble() / alone.firstTokens().percentile(95)),
+            "${short.firstTokens().percentile(50)} / ${short.firstTokens().percentile(95)}",
+            "${long.firstTokens().percentile(50)} / ${long.firstTokens().percentile(95)}",
+            jobs.mapNotNull { it.waitMillis }.max(),
+            "${short.count { it.refusal != null }} + ${short.count { it.isExpired }} of ${short.size}",
+            "${long.count { it.refusal != null }} + ${long.count { it.isExpired }} of ${long.size}",
+            "%.2f".format(load * served / jobs.sumOf { it.promptTokens }),
+        )
+        return cells.joinToString(" | ", "| ", " |")
+    }
+
+    /** Long prompts that fit only when all is drained, beside short ones that always leave something running. */
+    private fun starvationOrNull(policy: Policy, seed: Int): String? {
+        val shorts = arrivals(seed, load = 1.0, seconds = 180, endpoints = 1)
+            .filter { it.promptClass == PromptClass.UP_TO_4K }
+        val longs = List(5) { Job(LONG_NUMBERS + it, "w$it", 290_000, 100, it * 30_000_000L, LONG_LIMIT_MILLIS) }
+        val jobs = Rig(policy, endpoints = 1, budget = QueueBudget(300_000, 6)).run((shorts + longs).sortedBy { it.arrivalMicros })
+        val runMillis = jobs.filter { it.promptClass == PromptClass.UP_TO_4K }
+            .mapNotNull { job -> job.endMicros?.let { (it - checkNotNull(job.startMicros)) / MICROS } }.max()
+        val boundMillis = PromptClass.OVER_100K.ageingMillis + RESERVATIONS * runMillis
+        val waits = longs.map { it.waitMillis }
+        return waits.takeIf { all -> all.any { it == null || it > boundMillis } }?.let { "waits $it, bound $boundMillis" }
+    }
+
+    /** Four workspaces that all ask for more than a quarter, the first for ten times as much as each other one. */
+    private fun unfairnessOrNull(policy: Policy, seed: Int): String? {
+        val jobs = (0..3).flatMap { workspace ->
+            arrivals(seed * 10 + workspace, load = if (workspace == 0) 10.0 else 1.0, seconds = 120, endpoints = 1)
+                .filter { it.promptClass == PromptClass.UP_TO_4K }
+                .map { Job(it.number * 4 + workspace, "w$workspace", it.promptTokens, 100, it.arrivalMicros, SHORT_LIMIT_MILLIS) }
+        }
+        Rig(policy, endpoints = 1, budget = QueueBudget(300_000, 6)).run(jobs.sortedBy { it.arrivalMicros })
+        val window = 20_000_000L..120_000_000L
+        val served = jobs.filter { job -> job.startMicros?.let { it in window } == true }
+            .groupBy { it.workspace }.mapValues { (_, own) -> own.sumOf { it.promptTokens + it.answerTokens } }
+        val equal = served.values.sum() / 4.0
+        val isFair = served.size == 4 && served.values.all { abs(it - equal) <= FAIR_TOLERANCE * equal }
+        return if (isFair) null else "served $served"
+    }
+
+    private fun latenessOrNull(policy: Policy, seed: Int): String? {
+        val late = Rig(policy).run(arrivals(seed, load = 1.5)).count { job ->
+            val waited = job.waitMillis
+            val isRefused = job.refusal != null || job.isExpired
+            if (isRefused) waited != null else waited == null || waited > job.limitMillis || job.endMicros == null
+        }
+        return if (late == 0) null else "$late requests neither started in time nor were refused"
+    }
+
+    private fun slowdownOrNull(policy: Policy, seed: Int): String? {
+        val alone = Rig(policy).run(arrivals(seed, load = 0.8).filterNot { it.promptClass.isLong })
+        val mixed = Rig(policy).run(arrivals(seed, load = 0.8)).filterNot { it.promptClass.isLong }
+        val slowdown = mixed.firstTokens().percentile(95).toDouble() / alone.firstTokens().percentile(95)
+        return if (slowdown <= SLOWDOWN_TARGET) null else "slowdown $slowdown"
+    }
+
+    private fun List<Job>.firstTokens(): List<Long> = mapNotNull { it.firstTokenMillis }
+
+    private companion object {
+        val SEEDS = listOf(1, 2, 3)
+        const val FIGURES_SEED = 7
+        const val SLOWDOWN_TARGET = 1.3
+
+        /** The reservation of a long prompt and one of a short prompt before it; the long ones come far apart. */
+        const val RESERVATIONS = 2
+        const val FAIR_TOLERANCE = 0.1
+        const val LONG_NUMBERS = 900_000
+    }
+}
--- /dev/null
+++ b/coordination/src/test/kotlin/pistachiopass/queue/ReferenceQueues.kt
@@ -0,0 +1,102 @@
+/** Simple queues that the real one is measured against, and deliberately wrong variants of it. */
+package pistachiopass.queue
+
+import pistachiopass.model.RequestId
+import pistachiopass.model.WorkspaceId
+import java.util.TreeSet
+
+/** Makes the queue of one endpoint. */
+internal fun interface QueueMaker {
+    fun make(nowMillis: () -> Long, budget: () -> QueueBudget, forecast: FirstTokenForecast): AdmissionQueue
+}
+
+/** Names a way to queue. */
+internal enum class Policy(private val maker: QueueMaker) : QueueMaker by maker {
+    FAIR({ now, budget, forecast -> admissionQueueOf(now, budget, forecast) }),
+    FIFO({ now, _, forecast -> SortedQueue(now, forecast, compareBy({ it.sinceMillis }, { it.id.value }), true) }),
+    SHORTEST_FIRST({ now, _, forecast -> SortedQueue(now, forecast, compareBy({ it.tokens }, { it.id.value }), false) }),
+    NO_LIMIT({ now, _, forecast ->
+        SortedQueue(now, forecast, compareBy({ it.sinceMillis }, { it.id.value }), true, endsWaits = false)
+    }),
+    NO_AGEING({ now, budget, forecast ->
+        admissionQueueOf(now, budget, forecast, QueueLimits(ageingMillis = { Long.MAX_VALUE / 2 })).neverOverdue()
+    }),
+    NO_FAIRNESS({ now, budget, forecast -> OneWorkspaceQueue(admissionQueueOf(now, budget, forecast)) }),
+}
+
+/** Pushes limits far away, so that half of them is never reached either, and ends waits by the true ones. */
+private fun AdmissionQueue.neverOverdue(): AdmissionQueue = NoAgeingQueue(this)
+
+private class NoAgeingQueue(private val inner: AdmissionQueue) : AdmissionQueue by inner {
+    private val waiting: HashMap<RequestId, Waiting> = HashMap()
+
+    override fun offer(waiting: Waiting): Refusal? {
+        this.waiting[waiting.id] = waiting
+        return inner.offer(waiting.copy(untilMillis = FAR_MILLIS, firstTokenByMillis = FAR_MILLIS))
+    }
+
+    override fun takeNext(fits: (Waiting) -> Boolean): Waiting? = inner.takeNext(fits)?.let { waiting.remove(it.id) }
+
+    override fun expire(nowMillis: Long): List<Waiting> {
+        val ended = waiting.values.filter { it.startByMillis <= nowMillis }
+        ended.forEach { remove(it.id) }
+        return ended
+    }
+
+    override fun remove(id: RequestId) {
+        waiting.remove(id)
+        inner.remove(id)
+    }
+}
+
+private class OneWorkspaceQueue(private val inner: AdmissionQueue) : AdmissionQueue by inner {
+    private val waiting: HashMap<RequestId, Waiting> = HashMap()
+
+    override fun offer(waiting: Waiting): Refusal? {
+        this.waiting[waiting.id] = waiting
+        return inner.offer(waiting.copy(workspace = WorkspaceId("all")))
+    }
+
+    override fun takeNext(fits: (Waiting) -> Boolean): Waiting? = inner.takeNext(fits)?.let { waiting.remove(it.id) }
+
+    override fun expire(nowMillis: Long): List<Waiting> = inner.expire(nowMillis).mapNotNull { waiting.remove(it.id) }
+}
+
+private class SortedQueue(
+    private val nowMillis: () -> Long,
+    private val forecast: FirstTokenForecast,
+    private val order: Comparator<Waiting>,
+    private val blocksAtHead: Boolean,
+    private val endsWaits: Boolean = true,
+) : AdmissionQueue {
+    private val waiting: TreeSet<Waiting> = TreeSet(order)
+
+    override val size: Int get() = waiting.size
+
+    override fun offer(waiting: Waiting): Refusal? {
+        val predictedMillis = forecast.firstTokenMillis(waiting.promptTokens, tokensAhead(waiting))
+        val lateMillis = nowMillis() + predictedMillis - waiting.startByMillis
+        if (lateMillis > 0) return Refusal(RefusalReason.TOO_LATE, lateMillis)
+        this.waiting += waiting
+        return null
+    }
+
+    override fun takeNext(fits: (Waiting) -> Boolean): Waiting? {
+        val candidates = waiting.filter { it.startByMillis > nowMillis() || !endsWaits }
+        return (if (blocksAtHead) candidates.take(1) else candidates).firstOrNull(fits)?.also(waiting::remove)
+    }
+
+    override fun expire(nowMillis: Long): List<Waiting> =
+        waiting.filter { it.startByMillis <= nowMillis && endsWaits }.also { waiting.removeAll(it.toSet()) }
+
+    override fun remove(id: RequestId) {
+        waiting.removeIf { it.id == id }
+    }
+
+    override fun ended(id: RequestId) = Unit
+
+    override fun tokensAhead(waiting: Waiting): Long =
+        this.waiting.filter { order.compare(it, waiting) < 0 }.sumOf { it.tokens }
+}
+
+private const val FAR_MILLIS: Long = Long.MAX_VALUE / 4
--- /dev/null
+++ b/coordination/src/test/kotlin/pistachiopass/routing/LongPromptConfinementTest.kt
@@ -0,0 +1,123 @@
+/** Tables of cases for the confinement of long prompts and the choices made under it. */
+package pistachiopass.routing
+
+import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.TestFactory
+import pistachiopass.model.DataCentreId
+import pistachiopass.model.Endpoint
+import pistachiopass.model.EndpointId
+import pistachiopass.model.EndpointState
+import pistachiopass.model.Pool
+import pistachiopass.model.PoolKind
+import pistachiopass.model.PoolName
+import pistachiopass.model.WorkspaceId
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+class LongPromptConfinementTest {
+    private class Share(val heldShare: Double, val expectedCount: Int)
+
+    @Test
+    fun `the count grows at once and shrinks by one with hysteresis`() {
+        val confinement = longPromptConfinementOf()
+        listOf(
+            Share(0.0, expectedCount = 1), Share(0.07, expectedCount = 1), Share(0.08, expectedCount = 2),
+            Share(0.07, expectedCount = 2), Share(0.051, expectedCount = 2), Share(0.05, expectedCount = 1),
+            Share(0.5, expectedCount = 8), Share(0.36, expectedCount = 8), Share(0.0, expectedCount = 7),
+            Share(0.0, expectedCount = 6), Share(1.0, expectedCount = 10),
+        ).forEach { assertEquals(it.expectedCount, confinement.update(it.heldShare, endpoints = 10), "${it.heldShare}") }
+    }
+
+    @Test
+    fun `more endpoints include the fewer, whatever their order in the table`() {
+        val pool = poolOf(List(10) { endpoint("e$it") })
+        val sets = (0..10).map { longPromptEndpoints(pool, HERE, it) }
+        sets.zipWithNext { fewer, more -> assertTrue(more.containsAll(fewer)) }
+        assertEquals(sets[4], longPromptEndpoints(poolOf(pool.endpoints.reversed()), HERE, 4))
+        val changed = poolOf(pool.endpoints.drop(1))
+        assertTrue((longPromptEndpoints(changed, HERE, 4) - sets[4]).size <= 1)
+    }
+
+    @Test
+    fun `larger endpoints come first, and leaving or distant ones do not count`() {
+        val pool = poolOf(
+            listOf(
+                endpoint("small"), endpoint("large", budgetTokens = 900_000),
+                endpoint("leaving", budgetTokens = 900_000).copy(state = EndpointState.LEAVING),
+                endpoint("far", budgetTokens = 900_000).copy(dataCentre = THERE),
+            ),
+        )
+        assertEquals(listOf("large", "small"), longPromptEndpoints(pool, HERE, 4).map { it.value })
+    }
+
+    private class Case(
+        val name: String,
+        val promptTokens: Long,
+        val chosen: String?,
+        val reasons: Map<String, CandidateReason>,
+        val full: Set<String> = emptySet(),
+        val silent: Set<String> = emptySet(),
+    )
+
+    @TestFactory
+    fun `choices keep long and short prompts apart`() = listOf(
+        Case(
+            "a short prompt passes over the endpoint for long ones",
+            promptTokens = 2_000,
+            chosen = "b",
+            reasons = mapOf("a" to CandidateReason.RESERVED_FOR_LONG),
+        ),
+        Case(
+            "a short prompt takes it when there is no other",
+            promptTokens = 2_000,
+            chosen = "a",
+            full = setOf("b"),
+            reasons = mapOf("b" to CandidateReason.FULL),
+        ),
+        Case(
+            "a long prompt goes there only",
+            promptTokens = 20_000,
+            chosen = "a",
+            reasons = mapOf("b" to CandidateReason.RESERVED_FOR_SHORT),
+        ),
+        Case(
+            "a long prompt waits for it",
+            promptTokens = 20_000,
+            chosen = null,
+            full = setOf("a"),
+            reasons = mapOf("a" to CandidateReason.FULL, "b" to CandidateReason.RESERVED_FOR_SHORT),
+        ),
+        Case(
+            "a long prompt goes elsewhere when that one does not answer",
+            promptTokens = 20_000,
+            chosen = "b",
+            silent = setOf("a"),
+            reasons = mapOf("a" to CandidateReason.UNREACHABLE),
+        ),
+    ).map { case ->
+        DynamicTest.dynamicTest(case.name) {
+            val loads = listOf("a", "b").associate { id ->
+                EndpointId(id) to EndpointLoad(reachable = id !in case.silent, heldSlots = if (id in case.full) 16 else 0)
+            }
+            val choice = affinityChooser().choose(
+                RequestFacts("/", WorkspaceId("w"), promptTokens = case.promptTokens),
+                poolOf(listOf(endpoint("a"), endpoint("b"))),
+                FleetView(HERE, loads = loads, longPromptEndpoints = setOf(EndpointId("a"))),
+            )
+            assertEquals(case.chosen, choice.endpoint?.id?.value)
+            val reasons = choice.candidates.associate { it.endpoint.value to it.reason }
+            assertEquals(case.reasons, reasons.filterKeys { it in case.reasons })
+        }
+    }
+
+    private companion object {
+        val HERE = DataCentreId("here")
+        val THERE = DataCentreId("there")
+
+        fun endpoint(id: String, budgetTokens: Long = 300_000) =
+            Endpoint(EndpointId(id), HERE, "", budgetTokens = budgetTokens)
+
+        fun poolOf(endpoints: List<Endpoint>) = Pool(PoolName("p"), PoolKind.MODEL, endpoints)
+    }
+}
