--- a/coordination/src/main/kotlin/pistachiopass/tables/PoolsCheck.kt
+++ b/coordination/src/main/kotlin/pistachiopass/tables/PoolsCheck.kt
@@ -25,11 +25,9 @@
     pool: Pool,
 ): List<Problem> {
     val endpoints = place.field("endpoints")
-    val empty = if (pool.endpoints.isEmpty()) listOf(
-        endpoints.warning("none", "at least one endpoint")
-    ) else emptyList()
+    val empty = endpoints.warning("none", "at least one endpoint").takeIf { pool.endpoints.isEmpty() }
     return place.field("name").name(pool.name.value) +
-        empty +
+        listOfNotNull(empty) +
         pool.endpoints.flatMapIndexed { index, endpoint ->
             endpointProblems(endpoints.element(index, endpoint.id.value), pool.kind, endpoint)
         }
@@ -59,27 +57,25 @@
     value: Long,
 ): List<Problem> = if (kind == PoolKind.MODEL) positive(value) else notNegative(value)
 
-private data class PlacedEndpoint(val place: Place, val endpoint: Endpoint)
-
 /** An id must be unique over all pools, and so must an address: both stand for one budget. */
 private fun endpointDuplicates(table: PoolsTable): List<Problem> {
     val endpoints =
         table.pools.flatMapIndexed { poolIndex, pool ->
             pool.endpoints.mapIndexed { index, endpoint ->
                 val list = poolPlace(poolIndex, pool).field("endpoints")
-                PlacedEndpoint(list.element(index, endpoint.id.value), endpoint)
+                Placed(list.element(index, endpoint.id.value), endpoint)
             }
         }
-    val ids = endpoints.duplicates({ it.endpoint.id }) { _, placed -> placed.place.field("id") }
-    val differences = endpoints.groupBy { it.endpoint.id }.values.flatMap(::differenceProblems)
+    val ids = endpoints.duplicates({ it.value.id }) { _, placed -> placed.place.field("id") }
+    val differences = endpoints.groupBy { it.value.id }.values.flatMap(::differenceProblems)
     val addresses =
-        endpoints.distinctBy { it.endpoint.id }
-            .duplicates({ it.endpoint.address }) { _, placed -> placed.place.field("address") }
+        endpoints.distinctBy { it.value.id }
+            .duplicates({ it.value.address }) { _, placed -> placed.place.field("address") }
     return ids + differences + addresses
 }
 
-private fun differenceProblems(sameId: List<PlacedEndpoint>): List<Problem> {
-    val first = sameId.first().endpoint
+private fun differenceProblems(sameId: List<Placed<Endpoint>>): List<Problem> {
+    val first = sameId.first().value
     return sameId.drop(1).flatMap { (place, endpoint) ->
         listOfNotNull(
             place.field("dataCentre").error(endpoint.dataCentre, "${first.dataCentre}, as stated before for this id")
@@ -94,13 +90,11 @@
 private fun outProblems(table: PoolsTable): List<Problem> {
     val known = table.pools.flatMap { it.endpoints }.mapTo(sortedSetOf<DataCentreId>()) { it.dataCentre }
     val out = Place(DocumentName.POOLS).field("dataCentresOut")
+    val expected = "a data centre with endpoints: ${known.joinToString()}"
     val unknown =
         table.dataCentresOut.withIndex()
             .filter { it.value !in known }
-            .map { out.element(
-                it.index,
-                null
-            ).error(it.value, "the data centre of an endpoint: ${known.joinToString()}") }
+            .map { out.element(it.index, null).error(it.value, expected) }
     val all = known.isNotEmpty() && table.dataCentresOut.containsAll(known)
     val everyOne = out.warning(table.dataCentresOut.joinToString(), "at least one data centre in service")
     return unknown + listOfNotNull(everyOne.takeIf { all })
