--- a/coordination/src/main/kotlin/pistachiopass/queue/AdmissionQueue.kt
+++ b/coordination/src/main/kotlin/pistachiopass/queue/AdmissionQueue.kt
@@ -53,7 +53,8 @@
 
     /**
      * Removes and returns the next request for which [fits] returns true, or returns null; to be called after each
-     * offer and each time room becomes free, until it returns null.
+     * offer and each time room becomes free, until it returns null. [fits] has no effect of its own, since it may be
+     * asked more than once.
      */
     public fun takeNext(fits: (Waiting) -> Boolean): Waiting?
 
--- a/coordination/src/main/kotlin/pistachiopass/queue/FairQueue.kt
+++ b/coordination/src/main/kotlin/pistachiopass/queue/FairQueue.kt
@@ -5,14 +5,13 @@
  * tag that rises by the tokens it is served. A request's key is the tag it would reach, so that of two workspaces with
  * equal tags the one with the shorter request goes first. Within a workspace the shorter class goes first, and within
  * a class the earliest deadline. A request that has waited for its ageing time goes before all of its own workspace,
- * and its key falls below the start tag by its own tokens. If it does not fit then, room is reserved for it. So a
- * request starts at the latest after its ageing time and, for itself and each reservation that comes before its own,
- * the longest run of a request.
+ * and its key falls to the start tag itself. If it does not fit then, room is reserved for it. So a request starts at
+ * the latest after its ageing time and, for itself and each reservation that comes before its own, the longest run of
+ * a request.
  */
 package pistachiopass.queue
 
 import pistachiopass.model.RequestId
-import pistachiopass.model.WorkspaceId
 import pistachiopass.routing.PromptClass
 
 /** Bounds a queue. */
@@ -67,7 +66,7 @@
         val now = nowMillis()
         val reserved = reservation?.request
         val next = reserved?.takeIf { it.isWaitingAt(now) && fits(it.waiting) } ?: firstThatFits(now, fits)
-        return next?.let(::take)
+        return next?.also(::take)?.waiting
     }
 
     override fun expire(nowMillis: Long): List<Waiting> {
@@ -89,35 +88,32 @@
         return backlogs.tokensAhead(waiting) + (held?.request?.waiting?.tokens ?: 0)
     }
 
+    /** A workspace may hold as many places as are free, so that one that floods always leaves some to the others. */
     private fun refusalOrNull(waiting: Waiting): Refusal? {
         val predictedMillis = forecast.firstTokenMillis(waiting.promptTokens, tokensAhead(waiting))
         val lateMillis = nowMillis() + predictedMillis - waiting.startByMillis
+        val freePlaces = limits.requests - requests.size
         return when {
             lateMillis > 0 -> Refusal(RefusalReason.TOO_LATE, lateMillis)
-            isFullFor(waiting.workspace) -> Refusal(RefusalReason.QUEUE_FULL, maxOf(1, predictedMillis))
+            backlogs.sizeOf(waiting.workspace) >= freePlaces ->
+                Refusal(RefusalReason.QUEUE_FULL, maxOf(1, predictedMillis))
             else -> null
         }
     }
 
-    /** A workspace may hold as many places as are free, so that one that floods always leaves some to the others. */
-    private fun isFullFor(workspace: WorkspaceId): Boolean =
-        backlogs.sizeOf(workspace) >= limits.requests - requests.size
-
     private fun firstThatFits(now: Long, fits: (Waiting) -> Boolean): QueuedRequest? {
-        for (candidate in backlogs.candidatesAt(now)) {
-            val held = reservation
-            val isAdmitted = held == null || held.admits(candidate.request.waiting)
-            if (isAdmitted && fits(candidate.request.waiting)) return candidate.request
-            if (held == null && candidate.isOverdue) reservation = reservationFor(candidate.request, budget())
-        }
-        return null
+        val candidates = backlogs.candidatesAt(now)
+        val held = reservation ?: reservationOrNull(candidates, budget(), fits)
+        reservation = held
+        return candidates.map { it.request }
+            .filter { held == null || held.admits(it.waiting) }
+            .firstOrNull { fits(it.waiting) }
     }
 
-    private fun take(request: QueuedRequest): Waiting {
+    private fun take(request: QueuedRequest) {
         reservation?.started(request.waiting)
         backlogs.serve(request)
         drop(request)
-        return request.waiting
     }
 
     private fun drop(request: QueuedRequest) {
--- a/coordination/src/main/kotlin/pistachiopass/queue/FairTags.kt
+++ b/coordination/src/main/kotlin/pistachiopass/queue/FairTags.kt
@@ -3,7 +3,7 @@
 
 import pistachiopass.model.WorkspaceId
 
-/** Keeps the tags; the virtual time is the tag of the workspace that was served last. */
+/** Keeps the tags; the virtual time follows the tags of the workspaces that are served. */
 internal class FairTags {
     private val starts: HashMap<WorkspaceId, Long> = HashMap()
     private var virtualTime: Long = 0
--- a/coordination/src/main/kotlin/pistachiopass/queue/FirstTokenPredictor.kt
+++ b/coordination/src/main/kotlin/pistachiopass/queue/FirstTokenPredictor.kt
@@ -22,7 +22,7 @@
     val firstTokenMillis: Long,
     /** Whether the endpoint was in a cold start; such a sample is not learnt from. */
     val isCold: Boolean = false,
-    /** Whether the request was given up after [firstTokenMillis] without a first token, which is learnt as too short. */
+    /** Whether the request was given up after [firstTokenMillis], so that its true time is longer. */
     val isGivenUp: Boolean = false,
 )
 
--- a/coordination/src/main/kotlin/pistachiopass/queue/Reservation.kt
+++ b/coordination/src/main/kotlin/pistachiopass/queue/Reservation.kt
@@ -32,6 +32,16 @@
     }
 }
 
-/** Returns a reservation on an endpoint of this [budget]. */
-internal fun reservationFor(request: QueuedRequest, budget: QueueBudget): Reservation =
-    Reservation(request, budget.tokens - request.waiting.tokens, budget.slots - 1)
+/**
+ * Returns a reservation on an endpoint of this [budget], or null when every overdue request fits.
+ *
+ * It is for the overdue request whose workspace would be least ahead of the others without it.
+ */
+internal fun reservationOrNull(
+    candidates: List<Candidate>,
+    budget: QueueBudget,
+    fits: (Waiting) -> Boolean,
+): Reservation? =
+    candidates.filter { it.isOverdue && !fits(it.request.waiting) }
+        .minByOrNull { it.key - it.request.waiting.tokens }
+        ?.let { Reservation(it.request, budget.tokens - it.request.waiting.tokens, budget.slots - 1) }
--- a/coordination/src/main/kotlin/pistachiopass/queue/WorkspaceBacklog.kt
+++ b/coordination/src/main/kotlin/pistachiopass/queue/WorkspaceBacklog.kt
@@ -12,6 +12,8 @@
     val idText: String get() = waiting.id.value
 
     fun isWaitingAt(nowMillis: Long): Boolean = nowMillis < startByMillis
+
+    fun isOverdueAt(nowMillis: Long): Boolean = dueMillis <= nowMillis
 }
 
 /** Returns the request, overdue after [ageingMillis] or half of its own limit, whichever comes first. */
@@ -50,9 +52,9 @@
 
     /** Returns the overdue request that was due first, and the first of each class. */
     fun candidatesAt(nowMillis: Long, startTag: Long): List<Candidate> {
-        val overdue = byDue.firstOrNull { it.isWaitingAt(nowMillis) }?.takeIf { it.dueMillis <= nowMillis }
+        val overdue = byDue.firstOrNull { it.isWaitingAt(nowMillis) }?.takeIf { it.isOverdueAt(nowMillis) }
         val heads = byClass.values.mapNotNull { queue -> queue.firstOrNull { it.isWaitingAt(nowMillis) } }
-        return listOfNotNull(overdue?.let { Candidate(it, isOverdue = true, startTag - it.waiting.tokens) }) +
+        return listOfNotNull(overdue?.let { Candidate(it, isOverdue = true, startTag) }) +
             heads.filter { it !== overdue }.map { Candidate(it, isOverdue = false, startTag + it.waiting.tokens) }
     }
 }
