Retry what did not run within a budget, avoid failed endpoints, send priorities

Cause: an endpoint that refuses connections failed every request that was placed on it until its next load report, though nothing had run; engines knew no difference between short and long prompts. Ruled out: retrying every 'not run', since a refusal by an owner or by this instance would repeat at once; naming the failed endpoint in the message only, which the retry would have to parse; excluding it by the breaker alone, which another request's answer may close at any moment.

--- a/coordination/src/main/kotlin/pistachiopass/model/Verdict.kt
+++ b/coordination/src/main/kotlin/pistachiopass/model/Verdict.kt
@@ -79,6 +79,8 @@
     val retryAfterMillis: Long? = null,
     /** A fresh key for the caller, given where a key was required. */
     val idempotencyKey: String? = null,
+    /** The endpoint that could not be reached, refused the request or broke off. */
+    val endpoint: EndpointId? = null,
 )
 
 /** Names the response header that carries [Verdict.text]. */
@@ -92,3 +94,6 @@
 
 /** Names the header that carries the remaining time of a request, in milliseconds, towards endpoints and peers. */
 public const val REMAINING_MILLIS_HEADER: String = "X-Remaining-Millis"
+
+/** Names the header that carries the priority of a request towards engines; 0 is the most urgent. */
+public const val PRIORITY_HEADER: String = "X-Priority"
--- a/coordination/src/main/kotlin/pistachiopass/routing/EndpointChooser.kt
+++ b/coordination/src/main/kotlin/pistachiopass/routing/EndpointChooser.kt
@@ -33,6 +33,9 @@
     @SerialName("endpoint does not answer")
     UNREACHABLE,
 
+    @SerialName("an attempt at the endpoint has failed")
+    FAILED_BEFORE,
+
     @SerialName("endpoint does not serve the model")
     MODEL_MISSING,
 
@@ -156,6 +159,7 @@
         endpoint.dataCentre in view.dataCentresOut -> CandidateReason.DATA_CENTRE_OUT
         endpoint.state == EndpointState.LEAVING -> CandidateReason.LEAVING
         !load.reachable -> CandidateReason.UNREACHABLE
+        endpoint.id in facts.failedEndpoints -> CandidateReason.FAILED_BEFORE
         kind == PoolKind.MODEL && !endpoint.serves(facts.model) -> CandidateReason.MODEL_MISSING
         load.cold && !endpoint.hasColdRoom(load, neededTokens) -> CandidateReason.COLD_FULL
         !endpoint.hasRoom(load, neededTokens) -> CandidateReason.FULL
--- a/coordination/src/main/kotlin/pistachiopass/routing/RequestFacts.kt
+++ b/coordination/src/main/kotlin/pistachiopass/routing/RequestFacts.kt
@@ -1,6 +1,7 @@
 /** What routing and placement know of a request; prompt text is never part of it. */
 package pistachiopass.routing
 
+import pistachiopass.model.EndpointId
 import pistachiopass.model.ModelName
 import pistachiopass.model.Route
 import pistachiopass.model.RouteMatch
@@ -16,6 +17,8 @@
     val answerTokens: Long = 0,
     /** Digest of the first blocks of the prompt; requests that share it profit from the same prefix cache. */
     val prefixDigest: String = "",
+    /** Endpoints at which an attempt of this request has failed. */
+    val failedEndpoints: Set<EndpointId> = emptySet(),
 ) {
     /** Tokens of KV memory that the request may come to hold. */
     val tokens: Long get() = promptTokens + answerTokens
--- a/coordination/src/test/kotlin/pistachiopass/routing/RoutingTest.kt
+++ b/coordination/src/test/kotlin/pistachiopass/routing/RoutingTest.kt
@@ -94,6 +94,10 @@
             ChoiceCase(CandidateReason.DATA_CENTRE_OUT, out = setOf(DataCentreId("d1"))),
             ChoiceCase(CandidateReason.LEAVING, state = EndpointState.LEAVING),
             ChoiceCase(CandidateReason.UNREACHABLE, EndpointLoad(reachable = false)),
+            ChoiceCase(
+                CandidateReason.FAILED_BEFORE,
+                facts = facts(promptTokens = 60).copy(failedEndpoints = setOf(EndpointId("e1"))),
+            ),
             ChoiceCase(CandidateReason.MODEL_MISSING, facts = facts(model = "m9")),
             ChoiceCase(CandidateReason.COLD_FULL, EndpointLoad(cold = true, heldSlots = 1)),
             ChoiceCase(CandidateReason.COLD_FULL, EndpointLoad(cold = true), facts = facts(promptTokens = 101)),
--- a/entry/src/main/kotlin/pistachiopass/entry/Daemon.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/Daemon.kt
@@ -13,12 +13,15 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import pistachiopass.entry.body.BodyReader
 import pistachiopass.entry.body.heldMemoryOf
+import pistachiopass.entry.endpoint.EndpointBreaker
 import pistachiopass.entry.endpoint.LoadController
 import pistachiopass.entry.endpoint.endpointClientOf
 import pistachiopass.entry.filter.BodyFilter
 import pistachiopass.entry.filter.ForwardHandler
+import pistachiopass.entry.filter.RetryFilter
 import pistachiopass.entry.filter.RouteFilter
 import pistachiopass.entry.filter.StopFilter
+import pistachiopass.entry.filter.retryBudgetOf
 import pistachiopass.entry.http.AdminSource
 import pistachiopass.entry.http.endingIn
 import pistachiopass.entry.http.serveAdmin
@@ -53,6 +56,7 @@
     private val platform = platformClientOf(settings.platformAddress, settings.instance)
     private val client = endpointClientOf(settings.limits.readIdleMillis)
     private val loads = LoadController(client, ::endpoints)
+    private val breaker = EndpointBreaker()
     private val stopFilter = StopFilter()
     private val servers = listOf(callerServer(), adminServer())
 
@@ -88,13 +92,14 @@
     }
 
     private fun callerServer(): EmbeddedServer<*, *> {
-        val allocator = BlindAllocator(settings.dataCentre, affinityChooser(), loads, ::dataCentresOut)
+        val allocator = BlindAllocator(settings.dataCentre, affinityChooser(), loads, ::dataCentresOut, breaker)
         val filters = listOf(
             stopFilter,
             BodyFilter(BodyReader(settings.limits.bodyBytes, memory)),
             RouteFilter(tables.state::value),
+            RetryFilter(retryBudgetOf(), metrics),
         )
-        val handler = filters.endingIn(ForwardHandler(allocator, client))
+        val handler = filters.endingIn(ForwardHandler(allocator, client, breaker))
         val address = HostPort(settings.httpAddress)
         return embeddedServer(CIO, host = address.host, port = address.port) { serveCallers(handler) }
     }
--- a/entry/src/main/kotlin/pistachiopass/entry/endpoint/EndpointClient.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/endpoint/EndpointClient.kt
@@ -132,15 +132,21 @@
     Verdict.NOT_RUN,
     "endpoint $id refused the request",
     retryAfterMillis = response.headers[HttpHeaders.RetryAfter]?.toLongOrNull()?.times(MILLIS_PER_SECOND),
+    endpoint = id,
 )
 
-private fun Endpoint.unreachable(cause: Exception): Failure =
-    Failure(FailureCode.NO_ENDPOINT, Verdict.NOT_RUN, "endpoint $id cannot be reached: ${cause::class.simpleName}")
+private fun Endpoint.unreachable(cause: Exception): Failure = Failure(
+    FailureCode.NO_ENDPOINT,
+    Verdict.NOT_RUN,
+    "endpoint $id cannot be reached: ${cause::class.simpleName}",
+    endpoint = id,
+)
 
 private fun Endpoint.broken(cause: Exception): Failure = Failure(
     FailureCode.ENDPOINT_FAILED,
     Verdict.MAY_HAVE_RUN,
     "connection to endpoint $id broke: ${cause::class.simpleName}",
+    endpoint = id,
 )
 
 private val lenientJson: Json = Json { ignoreUnknownKeys = true }
--- a/entry/src/main/kotlin/pistachiopass/entry/filter/ForwardHandler.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/filter/ForwardHandler.kt
@@ -5,6 +5,8 @@
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.andThen
 import com.github.michaelbull.result.mapBoth
+import com.github.michaelbull.result.onFailure
+import com.github.michaelbull.result.onSuccess
 import io.ktor.client.request.HttpRequestBuilder
 import io.ktor.client.request.header
 import io.ktor.client.request.setBody
@@ -13,6 +15,7 @@
 import io.ktor.http.contentType
 import kotlinx.coroutines.NonCancellable
 import kotlinx.coroutines.withContext
+import pistachiopass.entry.endpoint.EndpointBreaker
 import pistachiopass.entry.endpoint.EndpointClient
 import pistachiopass.entry.http.Completion
 import pistachiopass.entry.http.Handler
@@ -26,15 +29,18 @@
 import pistachiopass.entry.stream.AnswerRelay
 import pistachiopass.model.Failure
 import pistachiopass.model.FailureCode
+import pistachiopass.model.PRIORITY_HEADER
 import pistachiopass.model.PoolKind
 import pistachiopass.model.REMAINING_MILLIS_HEADER
 import pistachiopass.model.REQUEST_ID_HEADER
 import pistachiopass.model.Verdict
+import pistachiopass.routing.promptClassOf
 
-/** Allocates room with [allocator] and sends through [client]. */
+/** Allocates room with [allocator] and sends through [client]; [breaker] learns which endpoints answer. */
 public class ForwardHandler(
     private val allocator: CapacityAllocator,
     private val client: EndpointClient,
+    private val breaker: EndpointBreaker = EndpointBreaker(),
 ) : Handler {
     override suspend fun handle(context: RequestContext): Result<Completion, Failure> =
         allocator.allocate(context.exchange.requestId, context.requireFacts(), context.requireTarget())
@@ -47,6 +53,8 @@
         var ended = false
         try {
             val outcome = forward(context, allocation)
+                .onSuccess { breaker.answered(allocation.endpoint.id) }
+                .onFailure { failure -> failure.endpoint?.let(breaker::failed) }
             ended = outcome.mapBoth({ true }, { it.verdict == Verdict.NOT_RUN })
             return outcome
         } finally {
@@ -77,9 +85,12 @@
         FORWARDED_HEADERS.forEach { name -> head.headers[name]?.let { header(name, it) } }
         header(REQUEST_ID_HEADER, allocation.leaseId.value)
         header(REMAINING_MILLIS_HEADER, -context.requireTarget().deadline.elapsedNow().inWholeMilliseconds)
+        if (context.requireTarget().pool.kind == PoolKind.MODEL) header(PRIORITY_HEADER, context.priority())
         setBody(context.requireBody().bytes)
     }
 }
 
+private fun RequestContext.priority(): Int = promptClassOf(requireFacts().promptTokens).priority
+
 private val FORWARDED_HEADERS: List<String> = listOf(HttpHeaders.Accept, IDEMPOTENCY_KEY_HEADER)
 private const val RETRY_MILLIS: Long = 1_000
--- /dev/null
+++ b/entry/src/main/kotlin/pistachiopass/entry/filter/RetryFilter.kt
@@ -0,0 +1,76 @@
+/**
+ * Sends a request again after an attempt that did not run.
+ *
+ * Only an endpoint that could not be reached or refused the request leads to a retry, and that endpoint is left out of
+ * it. A refusal by this instance or an owner is passed on, since it would repeat at once. What may have run is never
+ * sent again.
+ */
+package pistachiopass.entry.filter
+
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.getError
+import kotlinx.coroutines.delay
+import pistachiopass.entry.http.Completion
+import pistachiopass.entry.http.Filter
+import pistachiopass.entry.http.Handler
+import pistachiopass.entry.http.RequestContext
+import pistachiopass.entry.http.requireFacts
+import pistachiopass.entry.http.requireTarget
+import pistachiopass.entry.logging.Event
+import pistachiopass.entry.logging.EventLog
+import pistachiopass.entry.logging.field
+import pistachiopass.entry.logging.log
+import pistachiopass.entry.metrics.Metrics
+import pistachiopass.model.EndpointId
+import pistachiopass.model.Failure
+import pistachiopass.model.Verdict
+import kotlin.random.Random
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Retries within [budget] and the request's deadline, after a jittered pause that doubles with each attempt. */
+public class RetryFilter(
+    private val budget: RetryBudget,
+    private val metrics: Metrics,
+    private val random: Random = Random.Default,
+    private val log: EventLog = EventLog,
+) : Filter {
+    override suspend fun filter(context: RequestContext, next: Handler): Result<Completion, Failure> {
+        budget.onRequest()
+        return attempt(context, next, number = 1)
+    }
+
+    private suspend fun attempt(context: RequestContext, next: Handler, number: Int): Result<Completion, Failure> {
+        val outcome = next.handle(context)
+        val failed = outcome.getError()?.failedBeforeRunOrNull()
+        val pauseMillis = pauseMillisAfter(number)
+        if (failed == null || number == MAX_ATTEMPTS || !mayRetry(context, pauseMillis)) return outcome
+        record(context, failed, number + 1)
+        delay(pauseMillis)
+        return attempt(context.without(failed), next, number + 1)
+    }
+
+    private fun pauseMillisAfter(attempt: Int): Long {
+        val halfMillis = HALF_PAUSE_MILLIS shl (attempt - 1)
+        return halfMillis + random.nextLong(halfMillis + 1)
+    }
+
+    private fun mayRetry(context: RequestContext, pauseMillis: Long): Boolean =
+        !context.exchange.reply.started &&
+            (context.requireTarget().deadline - pauseMillis.milliseconds).hasNotPassedNow() &&
+            budget.tryTake()
+
+    private fun record(context: RequestContext, failed: EndpointId, attempt: Int) {
+        metrics.retried(context.requireTarget().route.name)
+        log.log(Event.RETRY, context.exchange.requestId, field("endpoint", failed), field("attempt", attempt))
+    }
+}
+
+private fun Failure.failedBeforeRunOrNull(): EndpointId? = endpoint.takeIf { verdict == Verdict.NOT_RUN }
+
+private fun RequestContext.without(endpoint: EndpointId): RequestContext {
+    val facts = requireFacts()
+    return copy(facts = facts.copy(failedEndpoints = facts.failedEndpoints + endpoint))
+}
+
+private const val MAX_ATTEMPTS: Int = 3
+private const val HALF_PAUSE_MILLIS: Long = 10
--- a/entry/src/main/kotlin/pistachiopass/entry/placement/BlindAllocator.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/placement/BlindAllocator.kt
@@ -8,6 +8,7 @@
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
+import pistachiopass.entry.endpoint.EndpointBreaker
 import pistachiopass.entry.endpoint.LoadController
 import pistachiopass.entry.http.Target
 import pistachiopass.entry.logging.Event
@@ -35,6 +36,7 @@
     private val chooser: EndpointChooser,
     private val loads: LoadController,
     private val dataCentresOut: () -> Set<DataCentreId>,
+    private val breaker: EndpointBreaker = EndpointBreaker(),
     private val log: EventLog = EventLog,
 ) : CapacityAllocator {
     private val ownTokens: MutableMap<EndpointId, Long> = HashMap()
@@ -60,7 +62,7 @@
         val report = observed?.report
         return EndpointLoad(
             cold = report?.cold ?: true,
-            reachable = observed == null || report != null,
+            reachable = (observed == null || report != null) && !breaker.isOpen(endpoint),
             heldTokens = maxOf(report?.usedTokens ?: 0, ownTokens[endpoint] ?: 0),
             heldSlots = maxOf(report?.requests?.size ?: 0, ownSlots[endpoint] ?: 0),
         )
--- a/standins/src/main/kotlin/pistachiopass/standins/engine/EngineRecord.kt
+++ b/standins/src/main/kotlin/pistachiopass/standins/engine/EngineRecord.kt
@@ -11,6 +11,7 @@
     val streamId: String? = null,
     val tokens: Int = 0,
     val outcome: String,
+    val priority: Int = DEFAULT_PRIORITY,
 )
 
 /** Holds the whole record over all starts of an engine. */
@@ -79,5 +80,6 @@
         streamId,
         producedTokens,
         progress.value.end?.text ?: "running",
+        request.priority,
     )
 }
--- a/standins/src/main/kotlin/pistachiopass/standins/engine/EngineRoutes.kt
+++ b/standins/src/main/kotlin/pistachiopass/standins/engine/EngineRoutes.kt
@@ -17,6 +17,7 @@
 import io.ktor.server.routing.post
 import kotlinx.coroutines.flow.first
 import kotlinx.serialization.SerializationException
+import pistachiopass.model.PRIORITY_HEADER
 import pistachiopass.model.REQUEST_ID_HEADER
 import pistachiopass.standins.fault.FaultSwitches
 import java.util.UUID
@@ -48,7 +49,10 @@
             call.respondError(HttpStatusCode.BadRequest, "bad_request", "the body is no chat completion call")
             return
         }
-        val request = completion.toGeneration(call.request.header(REQUEST_ID_HEADER) ?: UUID.randomUUID().toString())
+        val request = completion.toGeneration(
+            requestId = call.request.header(REQUEST_ID_HEADER) ?: UUID.randomUUID().toString(),
+            priority = call.request.header(PRIORITY_HEADER)?.toIntOrNull() ?: completion.priority,
+        )
         when (val admission = runner.use { submit(request, it) }) {
             is Admission.Taken -> answer(call, admission.stream, completion.stream)
             is Admission.Refused -> refuse(call, admission.retryAfterMillis)
--- a/standins/src/test/kotlin/pistachiopass/standins/engine/EngineServerTest.kt
+++ b/standins/src/test/kotlin/pistachiopass/standins/engine/EngineServerTest.kt
@@ -36,6 +36,23 @@
         }
     }
 
+    @Test
+    fun `the priority of the header goes before that of the body`() = withEngine {
+        for (headerValue in listOf("0", "3", null, "high")) {
+            client.post("$url/v1/chat/completions") {
+                completion(answerTokens = 1)
+                headerValue?.let { header("X-Priority", it) }
+            }
+        }
+        val inBody = """{"model":"drape-8b","messages":[{"role":"user","content":"x"}],"max_tokens":1,"priority":2}"""
+        client.post("$url/v1/chat/completions") { setBody(inBody) }
+        client.post("$url/v1/chat/completions") {
+            header("X-Priority", "1")
+            setBody(inBody)
+        }
+        assertEquals(listOf(0, 3, DEFAULT_PRIORITY, DEFAULT_PRIORITY, 2, 1), record().requests.map { it.priority })
+    }
+
     private class Resumption(val offset: Int, val offsets: List<Int>)
 
     @Test
