--- a/coordination/src/main/kotlin/pistachiopass/routing/RequestFacts.kt
+++ b/coordination/src/main/kotlin/pistachiopass/routing/RequestFacts.kt
@@ -1,6 +1,7 @@
 /** What routing and placement know of a request; prompt text is never part of it. */
 package pistachiopass.routing
 
+import pistachiopass.model.EndpointId
 import pistachiopass.model.ModelName
 import pistachiopass.model.Route
 import pistachiopass.model.RouteMatch
@@ -18,6 +19,8 @@
     val prefixDigest: String = "",
     /** Whether the answer is asked for as a stream of events. */
     val streamed: Boolean = false,
+    /** Endpoints at which an attempt of this request has failed. */
+    val failedEndpoints: Set<EndpointId> = emptySet(),
 ) {
     /** Tokens of KV memory that the request may come to hold. */
     val tokens: Long get() = promptTokens + answerTokens
--- a/entry/src/main/kotlin/pistachiopass/entry/Daemon.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/Daemon.kt
@@ -13,13 +13,16 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import pistachiopass.entry.body.BodyReader
 import pistachiopass.entry.body.heldMemoryOf
+import pistachiopass.entry.endpoint.EndpointBreaker
 import pistachiopass.entry.endpoint.LoadController
 import pistachiopass.entry.endpoint.endpointClientOf
 import pistachiopass.entry.filter.BodyFilter
 import pistachiopass.entry.filter.ForwardHandler
 import pistachiopass.entry.filter.ResumeFilter
+import pistachiopass.entry.filter.RetryFilter
 import pistachiopass.entry.filter.RouteFilter
 import pistachiopass.entry.filter.StopFilter
+import pistachiopass.entry.filter.retryBudgetOf
 import pistachiopass.entry.http.AdminSource
 import pistachiopass.entry.http.callerServerOf
 import pistachiopass.entry.http.endingIn
@@ -61,6 +64,7 @@
     private val platform = platformClientOf(settings.platformAddress, settings.instance)
     private val client = endpointClientOf(settings.limits.readIdleMillis)
     private val loads = LoadController(client, ::endpoints)
+    private val breaker = EndpointBreaker()
     private val limits = settings.limits
     private val eventIds = eventIdsOf(Base64.getDecoder().decode(settings.sharedKey))
     private val stopFilter = StopFilter()
@@ -100,15 +104,16 @@
     }
 
     private fun callerServer(): EmbeddedServer<*, *> {
-        val allocator = BlindAllocator(settings.dataCentre, affinityChooser(), loads, ::dataCentresOut)
+        val allocator = BlindAllocator(settings.dataCentre, affinityChooser(), loads, ::dataCentresOut, breaker)
         val relay = AnswerRelay(client, eventIds, RelayLimits(limits.readIdleMillis, limits.stallMillis))
         val filters = listOf(
             stopFilter,
             ResumeFilter(tables.state::value, eventIds, relay, client),
             BodyFilter(BodyReader(limits.bodyBytes, memory)),
             RouteFilter(tables.state::value),
+            RetryFilter(retryBudgetOf(), metrics),
         )
-        val handler = filters.endingIn(ForwardHandler(allocator, client, relay))
+        val handler = filters.endingIn(ForwardHandler(allocator, client, relay, breaker))
         return callerServerOf(settings) { serveCallers(handler, limits.streamBufferBytes) }
     }
 
--- a/entry/src/main/kotlin/pistachiopass/entry/filter/ForwardHandler.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/filter/ForwardHandler.kt
@@ -5,6 +5,8 @@
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.andThen
 import com.github.michaelbull.result.mapBoth
+import com.github.michaelbull.result.onFailure
+import com.github.michaelbull.result.onSuccess
 import io.ktor.client.plugins.timeout
 import io.ktor.client.request.HttpRequestBuilder
 import io.ktor.client.request.header
@@ -14,6 +16,7 @@
 import io.ktor.http.contentType
 import kotlinx.coroutines.NonCancellable
 import kotlinx.coroutines.withContext
+import pistachiopass.entry.endpoint.EndpointBreaker
 import pistachiopass.entry.endpoint.EndpointClient
 import pistachiopass.entry.http.Completion
 import pistachiopass.entry.http.Handler
@@ -28,17 +31,20 @@
 import pistachiopass.entry.stream.AnswerSource
 import pistachiopass.model.Failure
 import pistachiopass.model.FailureCode
+import pistachiopass.model.PRIORITY_HEADER
 import pistachiopass.model.PoolKind
 import pistachiopass.model.REMAINING_MILLIS_HEADER
 import pistachiopass.model.REQUEST_ID_HEADER
 import pistachiopass.model.Verdict
+import pistachiopass.routing.promptClassOf
 import kotlin.time.Duration.Companion.milliseconds
 
-/** Allocates room with [allocator] and sends through [client]. */
+/** Allocates room with [allocator] and sends through [client]; [breaker] learns which endpoints answer. */
 public class ForwardHandler(
     private val allocator: CapacityAllocator,
     private val client: EndpointClient,
     private val relay: AnswerRelay,
+    private val breaker: EndpointBreaker = EndpointBreaker(),
 ) : Handler {
     override suspend fun handle(context: RequestContext): Result<Completion, Failure> =
         allocator.allocate(context.exchange.requestId, context.requireFacts(), context.requireTarget())
@@ -51,6 +57,8 @@
         var sent = true
         try {
             val outcome = forward(context, allocation)
+                .onSuccess { breaker.answered(allocation.endpoint.id) }
+                .onFailure { failure -> failure.endpoint?.let(breaker::failed) }
             sent = outcome.mapBoth({ true }, { it.verdict != Verdict.NOT_RUN })
             return outcome
         } finally {
@@ -89,6 +97,7 @@
         header(REQUEST_ID_HEADER, allocation.leaseId.value)
         val remainingMillis = -context.requireTarget().deadline.elapsedNow().inWholeMilliseconds
         header(REMAINING_MILLIS_HEADER, remainingMillis)
+        if (context.requireTarget().pool.kind == PoolKind.MODEL) header(PRIORITY_HEADER, context.priority())
         if (!context.requireFacts().streamed) {
             timeout { socketTimeoutMillis = remainingMillis.coerceAtLeast(1) }
         }
@@ -96,6 +105,8 @@
     }
 }
 
+private fun RequestContext.priority(): Int = promptClassOf(requireFacts().promptTokens).priority
+
 private val FORWARDED_HEADERS: List<String> = listOf(HttpHeaders.Accept, IDEMPOTENCY_KEY_HEADER)
 
 /** Time before the deadline that is left for telling the caller of it. */
