--- a/entry/src/main/kotlin/pistachiopass/entry/Daemon.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/Daemon.kt
@@ -15,15 +15,17 @@
 import pistachiopass.entry.booking.EndpointBookingSender
 import pistachiopass.entry.booking.VerdictFilter
 import pistachiopass.entry.booking.instanceBookingsOf
+import pistachiopass.entry.endpoint.EndpointBreaker
 import pistachiopass.entry.endpoint.LoadController
 import pistachiopass.entry.endpoint.endpointClientOf
 import pistachiopass.entry.filter.BodyFilter
 import pistachiopass.entry.filter.ForwardHandler
 import pistachiopass.entry.filter.ResumeFilter
+import pistachiopass.entry.filter.RetryFilter
 import pistachiopass.entry.filter.RouteFilter
 import pistachiopass.entry.filter.StopFilter
+import pistachiopass.entry.filter.retryBudgetOf
 import pistachiopass.entry.http.AdminSource
-import pistachiopass.entry.http.HostPort
 import pistachiopass.entry.http.callerServerOf
 import pistachiopass.entry.http.endingIn
 import pistachiopass.entry.http.serveAdmin
@@ -34,7 +36,7 @@
 import pistachiopass.entry.logging.log
 import pistachiopass.entry.logging.tokenField
 import pistachiopass.entry.metrics.metricsOf
-import pistachiopass.entry.peer.peerTransportOf
+import pistachiopass.entry.peer.peerNetworkOf
 import pistachiopass.entry.placement.BlindAllocator
 import pistachiopass.entry.platform.TablesController
 import pistachiopass.entry.platform.platformClientOf
@@ -49,29 +51,29 @@
 import pistachiopass.status.InstanceStatus
 import pistachiopass.stream.eventIdsOf
 import pistachiopass.tables.tablesInForceOf
-import java.security.SecureRandom
 import java.util.Base64
-import kotlin.random.asKotlinRandom
+import kotlin.random.Random
 import kotlin.time.TimeSource
 
 /** Runs one instance from [start] to [stop]. */
 public class Daemon(private val settings: Settings) {
     private val startedAt = TimeSource.Monotonic.markNow()
-    private val startId = startIdOf(System.currentTimeMillis(), SecureRandom().asKotlinRandom())
+    private val startId = startIdOf(System.currentTimeMillis(), Random.Default)
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     private val metrics = metricsOf()
     private val memory = heldMemoryOf(settings.limits.heldBytes)
     private val tables = tablesInForceOf()
+    private val network = peerNetworkOf(settings, startId, metrics) { tables.state.value.instances?.value }
     private val platform = platformClientOf(settings.platformAddress, settings.instance)
     private val client = endpointClientOf(settings.limits.readIdleMillis)
-    private val transport = peerTransportOf(settings, startId, metrics, ::instances)
     private val loads = LoadController(client, ::endpoints)
+    private val breaker = EndpointBreaker()
     private val limits = settings.limits
     private val eventIds = eventIdsOf(Base64.getDecoder().decode(settings.sharedKey))
-    private val allocator = BlindAllocator(settings.dataCentre, affinityChooser(), loads, ::dataCentresOut)
+    private val allocator = BlindAllocator(settings.dataCentre, affinityChooser(), loads, ::dataCentresOut, breaker)
     private val bookings = instanceBookingsOf(
         settings,
-        transport,
+        network.transport,
         EndpointBookingSender(allocator, client, tables.state::value, settings.ledger),
         ::instances,
         scope,
@@ -85,9 +87,9 @@
     /** Starts the servers and controllers and returns once the instance is ready. */
     public suspend fun start() {
         log(Event.START)
+        network.start(scope)
         TablesController(platform, tables, ::uptimeMillis).start(scope)
         loads.start(scope)
-        HostPort(settings.peerAddress).let { transport.listen(it.host, it.port) }
         servers.forEach { it.startSuspend(wait = false) }
         tables.state.first { it.routes != null && it.pools != null }
         log(Event.READY)
@@ -99,7 +101,7 @@
         log(Event.STOP_BEGUN)
         GracefulStop(stopFilter, bookings, limits.stopMillis).run()
         servers.forEach { it.stopSuspend(SERVER_GRACE_MILLIS, SERVER_GRACE_MILLIS) }
-        transport.close()
+        network.close()
         scope.cancel()
         client.close()
         platform.close()
@@ -115,8 +117,9 @@
             BodyFilter(BodyReader(limits.bodyBytes, memory)),
             RouteFilter(tables.state::value),
             BookingFilter(bookings, settings.ledger.recordBytes, metrics),
+            RetryFilter(retryBudgetOf(), metrics),
         )
-        val handler = filters.endingIn(ForwardHandler(allocator, client, relay))
+        val handler = filters.endingIn(ForwardHandler(allocator, client, relay, breaker))
         return callerServerOf(settings) { serveCallers(handler, limits.streamBufferBytes) }
     }
 
@@ -154,6 +157,7 @@
             ready = isReady(),
             uptimeMillis = uptimeMillis(),
             tables = tables.statusAt(uptimeMillis()),
+            peers = network.statuses(),
             heldBytes = memory.heldBytes,
         )
     }
--- a/entry/src/main/kotlin/pistachiopass/entry/booking/EndpointBookingSender.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/booking/EndpointBookingSender.kt
@@ -78,16 +78,16 @@
         key: String,
         request: BookingRequest,
     ): Result<BookingOutcome, Failure> {
-        var remaining = target
+        var remaining = facts
         var result: Result<BookingOutcome, Failure> =
             Err(notRun(FailureCode.NO_ENDPOINT, "pool ${target.pool.name} has no endpoint"))
         for (attempt in 1..MAX_ENDPOINTS) {
-            val allocation = allocator.allocate(request.requestId, facts, remaining)
+            val allocation = allocator.allocate(request.requestId, remaining, target)
                 .mapBoth({ it }, { return result.orElse(attempt, it) })
             result = sendAndRelease(allocation, target, key, request)
             if (result.mapBoth({ true }, { it.verdict != Verdict.NOT_RUN })) break
             log.log(Event.RETRY, request.requestId, field("endpoint", allocation.endpoint.id))
-            remaining = remaining.without(allocation)
+            remaining = remaining.copy(failedEndpoints = remaining.failedEndpoints + allocation.endpoint.id)
         }
         return result
     }
@@ -160,9 +160,6 @@
     }
 }
 
-private fun Target.without(allocation: Allocation): Target =
-    copy(pool = pool.copy(endpoints = pool.endpoints.filter { it.id != allocation.endpoint.id }))
-
 private fun Result<BookingOutcome, Failure>.orElse(attempt: Int, refusal: Failure): Result<BookingOutcome, Failure> =
     if (attempt == 1) Err(refusal) else this
 
--- a/entry/src/main/kotlin/pistachiopass/entry/endpoint/EndpointClient.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/endpoint/EndpointClient.kt
@@ -141,6 +141,7 @@
     Verdict.NOT_RUN,
     "endpoint $id refused the request",
     retryAfterMillis = response.headers[HttpHeaders.RetryAfter]?.toLongOrNull()?.times(MILLIS_PER_SECOND),
+    endpoint = id,
 )
 
 private fun Endpoint.failed(cause: Throwable): Failure =
@@ -149,13 +150,18 @@
         else -> broken(cause)
     }
 
-private fun Endpoint.unreachable(cause: Throwable): Failure =
-    Failure(FailureCode.NO_ENDPOINT, Verdict.NOT_RUN, "endpoint $id cannot be reached: ${cause::class.simpleName}")
+private fun Endpoint.unreachable(cause: Throwable): Failure = Failure(
+    FailureCode.NO_ENDPOINT,
+    Verdict.NOT_RUN,
+    "endpoint $id cannot be reached: ${cause::class.simpleName}",
+    endpoint = id,
+)
 
 private fun Endpoint.broken(cause: Throwable): Failure = Failure(
     FailureCode.ENDPOINT_FAILED,
     Verdict.MAY_HAVE_RUN,
     "connection to endpoint $id broke: ${cause::class.simpleName}",
+    endpoint = id,
 )
 
 private val lenientJson: Json = Json { ignoreUnknownKeys = true }
--- a/entry/src/main/kotlin/pistachiopass/entry/http/CallerServerFactory.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/http/CallerServerFactory.kt
@@ -6,6 +6,7 @@
 import io.ktor.server.engine.connector
 import io.ktor.server.engine.embeddedServer
 import io.ktor.server.netty.Netty
+import pistachiopass.entry.HostPort
 import pistachiopass.entry.settings.Settings
 import pistachiopass.entry.tls.tlsMaterialOf
 
--- a/entry/src/test/kotlin/pistachiopass/entry/booking/RawServer.kt
+++ b/entry/src/test/kotlin/pistachiopass/entry/booking/RawServer.kt
@@ -104,14 +104,16 @@
     }
 }
 
-/** Takes the first endpoint of the pool. */
+/** Takes the first endpoint of the pool that has not failed. */
 internal object FirstAllocator : CapacityAllocator {
     override suspend fun allocate(
         requestId: RequestId,
         facts: RequestFacts,
         target: Target
     ): Result<Allocation, Failure> {
-        val first = target.pool.endpoints.firstOrNull() ?: return Err(notRun(FailureCode.NO_ENDPOINT, "none left"))
+        val first = target.pool.endpoints.firstOrNull {
+            it.id !in facts.failedEndpoints
+        } ?: return Err(notRun(FailureCode.NO_ENDPOINT, "none left"))
         return Ok(
             object : Allocation {
                 override val endpoint: Endpoint = first
