Relay documents between instances, read by few of each data centre

Cause: each instance watched each document at the platform, so platform calls grew with the instances, an instance cut off from the platform got no change, and one that restarted believed a stale platform.

Ruled out: pushing whole documents (a pools table of 2,800 endpoints, twice to each of 26 instances, goes beyond the traffic of a node): announcements carry versions and a document travels once, compressed, to who lacks it. Comparing with any instance of the fleet: 409 connections an instance with a keep-alive every 2 s each; the partners are the own data centre and 4 others by rendezvous. Asking the platform for what is above the version in force: a stale platform would then seem to confirm a version that it does not hold.

Change: pistachiopass.tables.relay decides, its driver TablesController carries out. Two readers of each data centre by rendezvous order of the published list, with stand-ins when heartbeats are silent; jittered comparison of versions; ages carried as durations; the start asks peers before it believes the platform. Events, metrics and /status follow the relay.

--- /dev/null
+++ b/coordination/src/main/kotlin/pistachiopass/tables/relay/DocumentBodies.kt
@@ -0,0 +1,61 @@
+/**
+ * Documents as they travel between instances: JSON, compressed.
+ *
+ * A body is expanded to at most [DOCUMENT_BYTES_MAX] bytes, so that no peer can fill the memory.
+ */
+package pistachiopass.tables.relay
+
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonElement
+import pistachiopass.model.InstanceList
+import pistachiopass.model.PoolsTable
+import pistachiopass.model.RoutesTable
+import pistachiopass.model.TableVersion
+import pistachiopass.tables.DOCUMENT_BYTES_MAX
+import pistachiopass.tables.DocumentName
+import pistachiopass.tables.TablesState
+import java.io.ByteArrayInputStream
+import java.io.ByteArrayOutputStream
+import java.io.IOException
+import java.util.EnumMap
+import java.util.zip.DeflaterOutputStream
+import java.util.zip.InflaterInputStream
+
+/** Returns the value in [body], or null when it is malformed or too large. */
+internal fun readBodyOrNull(body: ByteArray): JsonElement? =
+    try {
+        val bytes = InflaterInputStream(ByteArrayInputStream(body)).use { it.readNBytes(DOCUMENT_BYTES_MAX + 1) }
+        if (bytes.size > DOCUMENT_BYTES_MAX) null else Json.parseToJsonElement(bytes.decodeToString())
+    } catch (_: IOException) {
+        null
+    } catch (_: SerializationException) {
+        null
+    }
+
+/** Returns [text] compressed. */
+internal fun bodyOf(text: String): ByteArray {
+    val bytes = ByteArrayOutputStream()
+    DeflaterOutputStream(bytes).use { it.write(text.encodeToByteArray()) }
+    return bytes.toByteArray()
+}
+
+/** Keeps the body of the version in force of each document, so that many peers cost one compression. */
+internal class BodyCache {
+    private val bodies: MutableMap<DocumentName, Pair<TableVersion, ByteArray>> = EnumMap(DocumentName::class.java)
+
+    /** Returns the body of [document] in [state], or null when none is in force. */
+    fun bodyOrNull(document: DocumentName, state: TablesState): ByteArray? {
+        val version = state.versionOf(document)
+        val cached = bodies[document]?.takeIf { it.first == version }
+        return cached?.second ?: textOrNull(document, state)?.let { text ->
+            bodyOf(text).also { bodies[document] = version to it }
+        }
+    }
+
+    private fun textOrNull(document: DocumentName, state: TablesState): String? = when (document) {
+        DocumentName.ROUTES -> state.routes?.let { Json.encodeToString(RoutesTable.serializer(), it.value) }
+        DocumentName.POOLS -> state.pools?.let { Json.encodeToString(PoolsTable.serializer(), it.value) }
+        DocumentName.INSTANCES -> state.instances?.let { Json.encodeToString(InstanceList.serializer(), it.value) }
+    }
+}
--- /dev/null
+++ b/coordination/src/main/kotlin/pistachiopass/tables/relay/DocumentFetches.kt
@@ -0,0 +1,48 @@
+/**
+ * The documents that are being fetched from peers: one call at a time for each document.
+ *
+ * Peers that announce a version while a call is under way are remembered and asked next if the call fails or brings a
+ * lower version.
+ */
+package pistachiopass.tables.relay
+
+import pistachiopass.model.InstanceId
+import pistachiopass.model.TableVersion
+import pistachiopass.tables.DocumentName
+import java.util.EnumMap
+import java.util.EnumSet
+
+/** Chooses the peer from which each document is fetched next. */
+internal class DocumentFetches {
+    private class Offer(val peer: InstanceId, val version: TableVersion)
+
+    private val offers: MutableMap<DocumentName, ArrayDeque<Offer>> = EnumMap(DocumentName::class.java)
+    private val running: MutableSet<DocumentName> = EnumSet.noneOf(DocumentName::class.java)
+
+    /** Whether a document is being fetched. */
+    val isRunning: Boolean get() = running.isNotEmpty()
+
+    /** Returns the call to make now that [peer] has [version] of [document], which is wanted, or null. */
+    fun offeredOrNull(peer: InstanceId, document: DocumentName, version: TableVersion): RelayAction? {
+        val queue = offers.getOrPut(document) { ArrayDeque() }
+        if (queue.size < OFFERS_MAX) queue.addLast(Offer(peer, version))
+        return if (document in running) null else nextOrNull(document, TableVersion.NONE)
+    }
+
+    /** Returns the call to make after the one for [document] has ended and [inForce] is in force, or null. */
+    fun endedOrNull(document: DocumentName, inForce: TableVersion): RelayAction? {
+        running -= document
+        return nextOrNull(document, inForce)
+    }
+
+    private fun nextOrNull(document: DocumentName, inForce: TableVersion): RelayAction? {
+        val queue = offers[document] ?: return null
+        queue.removeAll { it.version <= inForce }
+        return queue.removeFirstOrNull()?.let { next ->
+            running += document
+            RelayAction.Fetch(next.peer, document)
+        }
+    }
+}
+
+private const val OFFERS_MAX: Int = 16
--- /dev/null
+++ b/coordination/src/main/kotlin/pistachiopass/tables/relay/PlatformWatches.kt
@@ -0,0 +1,71 @@
+/**
+ * The watches of the platform that one reader keeps, one for each document.
+ *
+ * A watch asks for what is newer than the platform itself has shown, not than what is in force: only so does an answer
+ * without change prove that the platform holds the version in force, and a stale platform renews no age.
+ */
+package pistachiopass.tables.relay
+
+import pistachiopass.model.TableVersion
+import pistachiopass.tables.DocumentName
+import kotlin.random.Random
+import kotlin.time.ComparableTimeMark
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.TimeSource
+
+/** Decides when the next watch of each document begins. */
+internal class PlatformWatches(
+    private val settings: RelaySettings,
+    private val clock: TimeSource.WithComparableMarks,
+    private val random: Random,
+) {
+    private val watches: List<DocumentWatch> = DocumentName.entries.map { DocumentWatch(it) }
+    private var wasReader = false
+
+    /** Returns the watches to begin now. */
+    fun due(isReader: Boolean): List<RelayAction> {
+        if (isReader && !wasReader) watches.forEach { it.pause(random.nextLong(settings.takeOverMillis + 1)) }
+        wasReader = isReader
+        return if (isReader) watches.mapNotNull { it.beginOrNull() } else emptyList()
+    }
+
+    /** Notes how a watch ended and returns whether the platform has begun or stopped to answer by it, or null. */
+    fun onEnded(document: DocumentName, outcome: WatchOutcome): Boolean? =
+        watches.single { it.document == document }.end(outcome)
+
+    private inner class DocumentWatch(val document: DocumentName) {
+        private var seen: TableVersion = TableVersion.NONE
+        private var running = false
+        private var failures = 0
+        private var dueAt: ComparableTimeMark = clock.markNow()
+
+        fun beginOrNull(): RelayAction? {
+            if (running || dueAt.hasNotPassedNow()) return null
+            running = true
+            return RelayAction.Watch(document, seen, settings.watchMillis)
+        }
+
+        fun end(outcome: WatchOutcome): Boolean? {
+            running = false
+            if (outcome is WatchOutcome.Changed) seen = maxOf(seen, outcome.document.version)
+            val hadFailed = failures > 0
+            val fails = outcome is WatchOutcome.Unavailable
+            failures = if (fails) failures + 1 else 0
+            pause(if (fails) failurePauseMillis() else 0)
+            return if (fails == hadFailed) null else hadFailed
+        }
+
+        fun pause(pauseMillis: Long) {
+            dueAt = clock.markNow() + pauseMillis.milliseconds
+        }
+
+        private fun failurePauseMillis(): Long {
+            val doublings = (failures - 1).coerceAtMost(MAX_DOUBLINGS)
+            val ceilingMillis =
+                (settings.platformPauseMinMillis shl doublings).coerceAtMost(settings.platformPauseMaxMillis)
+            return random.nextLong(ceilingMillis / 2, ceilingMillis + 1)
+        }
+    }
+}
+
+private const val MAX_DOUBLINGS: Int = 10
--- /dev/null
+++ b/coordination/src/main/kotlin/pistachiopass/tables/relay/RelayPeers.kt
@@ -0,0 +1,43 @@
+/** The peers of one instance's relay, by the list in force and by what heartbeats say. */
+package pistachiopass.tables.relay
+
+import pistachiopass.model.InstanceId
+import pistachiopass.model.InstanceList
+import kotlin.time.ComparableTimeMark
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Tells whom to announce to and with whom to compare; [list] gives the list in force or one that serves meanwhile. */
+internal class RelayPeers(
+    private val environment: RelayEnvironment,
+    private val settings: RelaySettings,
+    private val list: () -> InstanceList?,
+) {
+    private val self = environment.self
+    private val silentPeers = SilentPeers(environment.reachability, environment.clock, settings.silentAfterMillis)
+    private var compareAt: ComparableTimeMark = environment.clock.markNow()
+
+    /** Returns the other instances of the own data centre. */
+    fun near(): List<InstanceId> = list()?.neighboursOf(self).orEmpty()
+
+    /** Returns the readers of the other data centres. */
+    fun farReaders(): List<InstanceId> = list()?.farReadersOf(self, settings.readers).orEmpty()
+
+    /** Returns whether this instance watches the platform; one that knows no list does. */
+    fun isReader(): Boolean {
+        val current = list()
+        silentPeers.onList(current)
+        return current?.isReader(self, settings.readers, silentPeers::isSilent) ?: true
+    }
+
+    /** Returns the peer to compare with now, or null when no comparison is due; one without tables asks more often. */
+    fun partnerOrNull(hasTables: Boolean): InstanceId? {
+        if (compareAt.hasNotPassedNow()) return null
+        val meanMillis = if (hasTables) settings.compareMillis else minOf(settings.compareMillis, URGENT_MILLIS)
+        val factor = 1 + settings.jitter * (2 * environment.random.nextDouble() - 1)
+        compareAt = environment.clock.markNow() + (meanMillis * factor).milliseconds
+        val partners = list()?.let { near() + it.farPartnersOf(self, settings.farPartners) } ?: environment.bootstrap
+        return partners.filterNot(silentPeers::isSilent).ifEmpty { partners }.randomOrNull(environment.random)
+    }
+}
+
+private const val URGENT_MILLIS: Long = 1_000
--- /dev/null
+++ b/coordination/src/main/kotlin/pistachiopass/tables/relay/SilentPeers.kt
@@ -0,0 +1,36 @@
+/** Which published peers are silent, those that were never heard among them. */
+package pistachiopass.tables.relay
+
+import pistachiopass.membership.PeerStatus
+import pistachiopass.membership.Reachability
+import pistachiopass.model.InstanceId
+import pistachiopass.model.InstanceList
+import kotlin.time.ComparableTimeMark
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.TimeSource
+
+/** Judges peers by heartbeats, and gives one that is new in the list [silentAfterMillis] to be heard. */
+internal class SilentPeers(
+    private val reachability: Reachability,
+    private val clock: TimeSource.WithComparableMarks,
+    private val silentAfterMillis: Long,
+) {
+    private var list: InstanceList? = null
+    private val listedAt = HashMap<InstanceId, ComparableTimeMark>()
+
+    /** Notes the list in force. */
+    fun onList(current: InstanceList?) {
+        if (current === list || current == null) return
+        list = current
+        val ids = current.instances.map { it.id }
+        listedAt.keys.retainAll(ids.toSet())
+        ids.forEach { listedAt.getOrPut(it, clock::markNow) }
+    }
+
+    /** Returns whether [peer] has been silent for too long. */
+    fun isSilent(peer: InstanceId): Boolean = when (reachability.statusOf(peer)) {
+        PeerStatus.REACHABLE -> false
+        PeerStatus.SUSPECT -> true
+        PeerStatus.UNKNOWN -> listedAt[peer]?.let { it.elapsedNow() > silentAfterMillis.milliseconds } ?: false
+    }
+}
--- /dev/null
+++ b/coordination/src/main/kotlin/pistachiopass/tables/relay/TableRelay.kt
@@ -0,0 +1,135 @@
+/**
+ * The relay of documents: few instances of each data centre watch the platform and tell the others.
+ *
+ * A new version is announced to the own data centre and to the readers of the others, which announce it in theirs; who
+ * lacks it fetches it from who announced it. What is lost on the way is mended by comparing versions with one random
+ * peer at a time, pull first and then push, at a jittered period. The relay calls nothing itself: it returns actions,
+ * and its driver reports how they end. See docs/design/tables.md.
+ */
+package pistachiopass.tables.relay
+
+import com.github.michaelbull.result.get
+import pistachiopass.model.InstanceId
+import pistachiopass.tables.DocumentName
+import pistachiopass.tables.TablesInForce
+import pistachiopass.tables.instanceListCheck
+import kotlin.time.ComparableTimeMark
+
+/** Returns the relay that puts documents in force in [tables]. */
+public fun tableRelayOf(
+    environment: RelayEnvironment,
+    tables: TablesInForce,
+    observer: RelayObserver,
+    settings: RelaySettings = RelaySettings(),
+): TableRelay = TableRelay(environment, RelayedTables(tables, environment.clock, observer), observer, settings)
+
+/**
+ * Decides what to read, announce and fetch; all functions may be called from any thread.
+ *
+ * Listeners of the documents in force run inside these functions and must not call them.
+ */
+public class TableRelay internal constructor(
+    private val environment: RelayEnvironment,
+    /** The documents in force as peers are told of them. */
+    public val documents: RelayedTables,
+    private val observer: RelayObserver,
+    private val settings: RelaySettings,
+) {
+    private val start = RelayStart(environment, settings)
+    private val watches = PlatformWatches(settings, environment.clock, environment.random)
+    private val fetches = DocumentFetches()
+    private val peers = RelayPeers(environment, settings) { documents.state.instances?.value ?: start.shownList }
+    private var isStarted = false
+    private val hasTables: Boolean get() = documents.state.let { it.routes != null && it.pools != null }
+
+    /** Whether peers have been asked and routes and pools are in force. */
+    public val isReady: Boolean
+        @Synchronized get() = isStarted && hasTables
+
+    /** Returns what is due; called every [TICK_MILLIS]. */
+    @Synchronized
+    public fun tick(): List<RelayAction> = if (isStarted) dueActions() else startActions()
+
+    /** Returns what follows from an announcement of [peer]. */
+    @Synchronized
+    public fun onAnnounced(peer: InstanceId, versions: TableVersions): List<RelayAction> = fetchWanted(peer, versions)
+
+    /** Takes the response of [peer], or null when it failed; [askedAt] is when the call began. */
+    @Synchronized
+    public fun onCompared(peer: InstanceId, versions: TableVersions?, askedAt: ComparableTimeMark): List<RelayAction> {
+        start.onAnswer(peer, versions)
+        if (versions == null) return emptyList()
+        versions.documents.forEach { documents.confirm(it, askedAt) }
+        return fetchWanted(peer, versions)
+    }
+
+    /** Takes the document that [action] brought, or null when the call failed. */
+    @Synchronized
+    public fun onFetched(
+        action: RelayAction.Fetch,
+        relayed: RelayedDocument?,
+        askedAt: ComparableTimeMark,
+    ): List<RelayAction> {
+        val isNew = relayed != null && relayed.document == action.document &&
+            documents.offer(relayed, action.peer, askedAt)
+        val next = fetches.endedOrNull(action.document, documents.state.versionOf(action.document))
+        val near = peers.near()
+        val passedOn = if (isNew && action.peer !in near) announce(action.document, near) else emptyList()
+        return listOfNotNull(next) + passedOn
+    }
+
+    /** Takes the end of a watch that [tick] began. */
+    @Synchronized
+    public fun onWatched(
+        action: RelayAction.Watch,
+        outcome: WatchOutcome,
+        askedAt: ComparableTimeMark,
+    ): List<RelayAction> {
+        val document = action.document
+        watches.onEnded(document, outcome)?.let { observer.onPlatform(document, it) }
+        if (outcome is WatchOutcome.Unchanged) {
+            documents.confirm(DocumentVersion(document, action.after, ageMillis = 0), askedAt)
+        }
+        val isNew = outcome is WatchOutcome.Changed &&
+            documents.offer(document, outcome.document.version, outcome.document.value)
+        return if (isNew) announce(document, peers.near() + peers.farReaders()) else emptyList()
+    }
+
+    /** Takes the instance list that the platform showed at the start. */
+    @Synchronized
+    public fun onListRead(outcome: WatchOutcome) {
+        val value = (outcome as? WatchOutcome.Changed)?.document?.value
+        start.onList(value?.let { instanceListCheck().read(it).toResult().get() })
+    }
+
+    private fun startActions(): List<RelayAction> =
+        when (val step = start.next(documents.state.instances?.value, fetches.isRunning)) {
+            StartStep.Wait -> emptyList()
+            is StartStep.Ask -> step.peers.map { RelayAction.Compare(it, documents.versions()) }
+            StartStep.ReadList -> listOf(RelayAction.ReadList)
+            StartStep.Done -> {
+                isStarted = true
+                observer.onStarted(start.answers)
+                dueActions()
+            }
+        }
+
+    private fun dueActions(): List<RelayAction> {
+        val partner = peers.partnerOrNull(hasTables)
+        val comparison = partner?.let { RelayAction.Compare(it, documents.versions()) }
+        return watches.due(peers.isReader()) + listOfNotNull(comparison)
+    }
+
+    private fun fetchWanted(peer: InstanceId, versions: TableVersions): List<RelayAction> =
+        versions.documents.filter(documents::isWanted)
+            .mapNotNull { fetches.offeredOrNull(peer, it.document, it.version) }
+
+    private fun announce(document: DocumentName, receivers: List<InstanceId>): List<RelayAction> {
+        val version = DocumentVersion(document, documents.state.versionOf(document))
+        val announcement = RelayAction.Announce(receivers, TableVersions(listOf(version)))
+        return if (receivers.isEmpty()) emptyList() else listOf(announcement)
+    }
+}
+
+/** Time between two calls of [TableRelay.tick]. */
+public const val TICK_MILLIS: Long = 100
--- a/entry/src/main/kotlin/pistachiopass/entry/Daemon.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/Daemon.kt
@@ -9,7 +9,6 @@
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.flow.first
 import kotlinx.coroutines.withTimeoutOrNull
 import pistachiopass.entry.body.BodyReader
 import pistachiopass.entry.body.heldMemoryOf
@@ -31,8 +30,8 @@
 import pistachiopass.entry.metrics.metricsOf
 import pistachiopass.entry.peer.peerNetworkOf
 import pistachiopass.entry.placement.BlindAllocator
-import pistachiopass.entry.platform.TablesController
 import pistachiopass.entry.platform.platformClientOf
+import pistachiopass.entry.platform.tablesControllerOf
 import pistachiopass.entry.settings.Settings
 import pistachiopass.model.DataCentreId
 import pistachiopass.model.Endpoint
@@ -53,6 +52,7 @@
     private val tables = tablesInForceOf()
     private val network = peerNetworkOf(settings, startId, metrics) { tables.state.value.instances?.value }
     private val platform = platformClientOf(settings.platformAddress, settings.instance)
+    private val controller = tablesControllerOf(platform, network, tables, metrics)
     private val client = endpointClientOf(settings.limits.readIdleMillis)
     private val loads = LoadController(client, ::endpoints)
     private val stopFilter = StopFilter()
@@ -64,11 +64,11 @@
     /** Starts the servers and controllers and returns once the instance is ready. */
     public suspend fun start() {
         log(Event.START)
+        controller.start(scope)
         network.start(scope)
-        TablesController(platform, tables, ::uptimeMillis).start(scope)
         loads.start(scope)
         servers.forEach { it.startSuspend(wait = false) }
-        tables.state.first { it.routes != null && it.pools != null }
+        while (!controller.isReady) delay(READY_POLL_MILLIS)
         log(Event.READY)
     }
 
@@ -124,7 +124,7 @@
 
     private inner class Admin : AdminSource {
         override fun isReady(): Boolean =
-            !stopping && tables.state.value.let { it.routes != null && it.pools != null }
+            !stopping && controller.isReady
 
         override fun scrape(): String = metrics.scrape()
 
@@ -134,7 +134,7 @@
             startId = startId,
             ready = isReady(),
             uptimeMillis = uptimeMillis(),
-            tables = tables.statusAt(uptimeMillis()),
+            tables = controller.statuses(),
             peers = network.statuses(),
             heldBytes = memory.heldBytes,
         )
@@ -147,5 +147,6 @@
     val port: Int = address.substringAfterLast(':').toInt()
 }
 
+private const val READY_POLL_MILLIS: Long = 20
 private const val SERVER_GRACE_MILLIS: Long = 500
 private const val IDLE_POLL_MILLIS: Long = 50
--- a/entry/src/main/kotlin/pistachiopass/entry/logging/Event.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/logging/Event.kt
@@ -24,6 +24,12 @@
     TABLE_REFUSED(number = 2002, Level.ERROR, "A version of a table has errors; the version before it stays in force."),
     TABLE_VERSION_IGNORED(number = 2003, Level.WARN, "A version not newer than the one in force was ignored."),
     TABLE_AGE(number = 2004, Level.WARN, "A table has not been confirmed for a long time."),
+    STARTED_BY_PEERS(
+        number = 2005,
+        Level.INFO,
+        "Peers gave the tables at the start; their number is given."
+    ),
+    STARTED_ALONE(number = 2006, Level.WARN, "No peer had tables at the start; the platform alone is believed."),
     PLATFORM_UNREACHABLE(number = 2010, Level.WARN, "The platform does not answer; the last tables stay in force."),
     PLATFORM_BACK(number = 2011, Level.INFO, "The platform answers again."),
 
--- a/entry/src/main/kotlin/pistachiopass/entry/metrics/Metrics.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/metrics/Metrics.kt
@@ -44,11 +44,11 @@
         streamBytes.addAndGet(deltaBytes)
     }
 
-    /** Reads version and age of [table] from these functions at each scrape. */
-    public fun watchTable(table: Table, version: () -> Long, ageMillis: () -> Long) {
+    /** Reads version and age of [table], null while none was confirmed, from these functions at each scrape. */
+    public fun watchTable(table: Table, version: () -> Long, ageMillis: () -> Long?) {
         val label = listOf(table.name.lowercase())
         registry.gauge(Metric.TABLE_VERSION, label) { version().toDouble() }
-        registry.gauge(Metric.TABLE_AGE, label) { ageMillis().toDouble() / MILLIS_PER_SECOND }
+        registry.gauge(Metric.TABLE_AGE, label) { ageMillis()?.let { it / MILLIS_PER_SECOND } ?: Double.NaN }
     }
 
     /** Counts a call to the platform. */
--- a/entry/src/main/kotlin/pistachiopass/entry/platform/PlatformClient.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/platform/PlatformClient.kt
@@ -11,22 +11,9 @@
 import kotlinx.io.IOException
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
-import kotlinx.serialization.json.JsonElement
 import pistachiopass.model.InstanceId
-import pistachiopass.model.Published
 import pistachiopass.model.TableVersion
-
-/** What one watch of a document came back with. */
-public sealed interface WatchOutcome {
-    /** The document has a newer state. */
-    public data class Changed(val document: Published<JsonElement>) : WatchOutcome
-
-    /** The document did not change while the watch lasted. */
-    public data object Unchanged : WatchOutcome
-
-    /** The platform did not answer as it should; [cause] says how. */
-    public data class Unavailable(val cause: String) : WatchOutcome
-}
+import pistachiopass.tables.relay.WatchOutcome
 
 /** Watches documents of the platform. */
 public interface Platform {
--- a/entry/src/main/kotlin/pistachiopass/entry/platform/TablesController.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/platform/TablesController.kt
@@ -1,82 +1,143 @@
-/** Keeps the documents in force up to date by watching the platform. */
+/** Keeps the documents in force up to date: carries out what the relay of documents asks for. */
 package pistachiopass.entry.platform
 
+import com.github.michaelbull.result.get
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
-import pistachiopass.entry.logging.Event
-import pistachiopass.entry.logging.EventLog
-import pistachiopass.entry.logging.field
-import pistachiopass.entry.logging.log
-import pistachiopass.entry.logging.tokenField
+import pistachiopass.entry.metrics.Metrics
+import pistachiopass.entry.metrics.PlatformOutcome
+import pistachiopass.entry.metrics.Table
+import pistachiopass.entry.peer.PeerNetwork
 import pistachiopass.model.TableVersion
+import pistachiopass.peer.PeerTransport
+import pistachiopass.peer.call
+import pistachiopass.peer.register
+import pistachiopass.peer.sendToAll
+import pistachiopass.status.TableStatus
 import pistachiopass.tables.DocumentName
-import pistachiopass.tables.OfferOutcome
 import pistachiopass.tables.TablesInForce
-import kotlin.coroutines.coroutineContext
-import kotlin.random.Random
+import pistachiopass.tables.relay.DocumentRequest
+import pistachiopass.tables.relay.RelayAction
+import pistachiopass.tables.relay.RelayEnvironment
+import pistachiopass.tables.relay.RelayMember
+import pistachiopass.tables.relay.TABLES_ANNOUNCED
+import pistachiopass.tables.relay.TABLES_COMPARED
+import pistachiopass.tables.relay.TABLE_RELAYED
+import pistachiopass.tables.relay.TABLE_REQUESTED
+import pistachiopass.tables.relay.TICK_MILLIS
+import pistachiopass.tables.relay.TableRelay
+import pistachiopass.tables.relay.WatchOutcome
+import pistachiopass.tables.relay.tableRelayOf
+import kotlin.time.TimeSource
 
-/** Watches each document of [platform] and offers what it reads to [tables]. */
+/** Returns the controller that puts documents in force in [tables] and joins it with [network] and [platform]. */
+public fun tablesControllerOf(
+    platform: Platform,
+    network: PeerNetwork,
+    tables: TablesInForce,
+    metrics: Metrics,
+): TablesController {
+    val self = network.transport.self
+    val environment = RelayEnvironment(
+        RelayMember(self.instance, self.dataCentre),
+        network.reachability,
+        network.bootstrapPeers.toList(),
+    )
+    return TablesController(platform, network.transport, tableRelayOf(environment, tables, RelayLog()), metrics)
+}
+
+/** Joins [relay] with the platform and the other instances. */
 public class TablesController(
     private val platform: Platform,
-    private val tables: TablesInForce,
-    private val nowMillis: () -> Long,
-    private val log: EventLog = EventLog,
-    private val random: Random = Random.Default,
+    private val transport: PeerTransport,
+    private val relay: TableRelay,
+    private val metrics: Metrics,
+    private val clock: TimeSource.WithComparableMarks = TimeSource.Monotonic,
 ) {
-    /** Starts one watch for each document; they end with the scope. */
-    public fun start(scope: CoroutineScope) {
-        DocumentName.entries.forEach { document -> scope.launch { watchForever(document) } }
-    }
+    /** Whether peers have been asked at the start and routes and pools are in force. */
+    public val isReady: Boolean get() = relay.isReady
+
+    /** Returns version and age of each document now. */
+    public fun statuses(): List<TableStatus> = relay.documents.statuses()
 
-    private suspend fun watchForever(document: DocumentName) {
-        var seen = TableVersion.NONE
-        var failures = 0
-        while (coroutineContext.isActive) {
-            val sentAtMillis = nowMillis()
-            when (val outcome = platform.watch(document.text, seen, WATCH_MILLIS)) {
-                is WatchOutcome.Changed -> {
-                    seen = maxOf(seen, outcome.document.version)
-                    val offered =
-                        tables.offer(document, outcome.document.version, outcome.document.value, nowMillis())
-                    logOffer(document, outcome.document.version, offered)
-                }
-                WatchOutcome.Unchanged -> tables.confirm(document, seen, sentAtMillis)
-                is WatchOutcome.Unavailable -> {
-                    if (failures == 0) log.log(Event.PLATFORM_UNREACHABLE, tokenField("document", document.text))
-                    failures++
-                    delay(backoffMillis(failures))
-                    continue
-                }
+    /** Answers peers and starts to read and relay; ends with [scope]. Called before the transport listens. */
+    public fun start(scope: CoroutineScope) {
+        transport.register(TABLES_ANNOUNCED) { sender, versions ->
+            scope.perform(relay.onAnnounced(sender.instance, versions))
+        }
+        transport.register(TABLES_COMPARED, TABLES_COMPARED) { sender, versions ->
+            scope.perform(relay.onAnnounced(sender.instance, versions))
+            relay.documents.versions()
+        }
+        transport.register(TABLE_REQUESTED, TABLE_RELAYED) { _, request -> relay.documents.relayedOf(request.document) }
+        Table.entries.forEach { table ->
+            val status = { statuses()[table.ordinal] }
+            metrics.watchTable(table, { status().version.value }, { status().ageMillis })
+        }
+        scope.launch {
+            while (isActive) {
+                scope.perform(relay.tick())
+                delay(TICK_MILLIS)
             }
-            if (failures > 0) log.log(Event.PLATFORM_BACK, tokenField("document", document.text))
-            failures = 0
         }
     }
 
-    private fun logOffer(document: DocumentName, version: TableVersion, outcome: OfferOutcome) {
-        val name = tokenField("document", document.text)
-        val offered = field("version", version)
-        when (outcome) {
-            is OfferOutcome.Accepted -> log.log(Event.TABLE_ACCEPTED, name, offered)
-            is OfferOutcome.Refused ->
-                log.log(Event.TABLE_REFUSED, name, offered, field("problems", outcome.problems.size))
-            is OfferOutcome.Older ->
-                log.log(Event.TABLE_VERSION_IGNORED, name, offered, field("inForce", outcome.inForce))
-            OfferOutcome.RefusedBefore, OfferOutcome.Unchanged -> Unit
-        }
+    private fun CoroutineScope.perform(actions: List<RelayAction>): Unit = actions.forEach { action ->
+        launch { perform(perform(action)) }
+    }
+
+    private suspend fun perform(action: RelayAction): List<RelayAction> = when (action) {
+        is RelayAction.Watch -> watch(action)
+        RelayAction.ReadList -> readList()
+        is RelayAction.Announce -> announce(action)
+        is RelayAction.Compare -> compare(action)
+        is RelayAction.Fetch -> fetch(action)
+    }
+
+    private suspend fun watch(action: RelayAction.Watch): List<RelayAction> {
+        val askedAt = clock.markNow()
+        return relay.onWatched(action, watch(action.document, action.after, action.waitMillis), askedAt)
     }
 
-    private fun backoffMillis(failures: Int): Long {
-        val ceilingMillis = (FIRST_BACKOFF_MILLIS shl (failures - 1).coerceAtMost(MAX_DOUBLINGS)).coerceAtMost(
-            MAX_BACKOFF_MILLIS
+    private suspend fun readList(): List<RelayAction> {
+        relay.onListRead(watch(DocumentName.INSTANCES, TableVersion.NONE, waitMillis = 0))
+        return emptyList()
+    }
+
+    private suspend fun watch(document: DocumentName, after: TableVersion, waitMillis: Long): WatchOutcome {
+        val outcome = platform.watch(document.text, after, waitMillis)
+        metrics.platformCalled(
+            when (outcome) {
+                is WatchOutcome.Changed -> PlatformOutcome.CHANGED
+                WatchOutcome.Unchanged -> PlatformOutcome.UNCHANGED
+                is WatchOutcome.Unavailable -> PlatformOutcome.FAILED
+            },
         )
-        return random.nextLong(ceilingMillis / 2, ceilingMillis)
+        return outcome
+    }
+
+    private suspend fun announce(action: RelayAction.Announce): List<RelayAction> {
+        val message = TABLES_ANNOUNCED.encode(action.versions)
+        transport.sendToAll(action.peers, message)
+        return emptyList()
+    }
+
+    private suspend fun compare(action: RelayAction.Compare): List<RelayAction> {
+        val askedAt = clock.markNow()
+        val message = TABLES_COMPARED.encode(action.versions)
+        val answer = transport.call(action.peer, message, TABLES_COMPARED, COMPARE_TIMEOUT_MILLIS).get()
+        return relay.onCompared(action.peer, answer, askedAt)
+    }
+
+    private suspend fun fetch(action: RelayAction.Fetch): List<RelayAction> {
+        val askedAt = clock.markNow()
+        val message = TABLE_REQUESTED.encode(DocumentRequest(action.document))
+        val answer = transport.call(action.peer, message, TABLE_RELAYED, FETCH_TIMEOUT_MILLIS).get()
+        return relay.onFetched(action, answer, askedAt)
     }
 }
 
-private const val WATCH_MILLIS: Long = 20_000
-private const val FIRST_BACKOFF_MILLIS: Long = 200
-private const val MAX_BACKOFF_MILLIS: Long = 5_000
-private const val MAX_DOUBLINGS: Int = 10
+private const val COMPARE_TIMEOUT_MILLIS: Long = 1_000
+private const val FETCH_TIMEOUT_MILLIS: Long = 3_000
