--- a/entry/src/main/kotlin/pistachiopass/entry/Daemon.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/Daemon.kt
@@ -155,15 +155,6 @@
     }
 }
 
-<<<<<<< HEAD
-=======
-/** Splits `host:port`. */
-internal class HostPort(address: String) {
-    val host: String = address.substringBeforeLast(':')
-    val port: Int = address.substringAfterLast(':').toInt()
-}
-
 private const val READY_POLL_MILLIS: Long = 20
->>>>>>> relay
 private const val SERVER_GRACE_MILLIS: Long = 500
 private const val IDLE_POLL_MILLIS: Long = 50
