--- /dev/null
+++ b/coordination/src/main/kotlin/pistachiopass/capacity/AccountStatus.kt
@@ -0,0 +1,39 @@
+/** Descriptions of an owner's accounts, for other instances and for operators. */
+package pistachiopass.capacity
+
+import pistachiopass.model.InstanceId
+
+/** Describes one account. */
+public data class AccountStatus(
+    val duty: EndpointDuty,
+    val isCold: Boolean,
+    val isSilent: Boolean,
+    /** What leases and the last report say is or may be in use. */
+    val held: Capacity,
+    /** What this table's leases reserve. */
+    val leased: Capacity,
+    /** Unexpired pledges by pledger. */
+    val pledged: Map<InstanceId, Share>,
+    val report: EndpointReport?,
+)
+
+/** Returns the description that operators see. */
+internal fun EndpointAccount.status(nowMillis: Long): AccountStatus = AccountStatus(
+    duty = duty,
+    isCold = coldStart.isCold,
+    isSilent = isSilent(nowMillis),
+    held = usage().total,
+    leased = leases.values.fold(Capacity.NONE) { sum, lease -> sum + lease.facts.reserved },
+    pledged = pledges.unexpired(nowMillis).associate { it.pledge.life.instance to it.pledge.share },
+    report = report,
+)
+
+/** Returns the description that goes to the instances that choose endpoints. */
+internal fun EndpointAccount.summary(nowMillis: Long): EndpointSummary =
+    EndpointSummary(duty.endpoint.id, coldStart.isCold, isSilent(nowMillis), usage().total)
+
+/** Notes that all lives of an instance before [life] have ended. */
+internal fun EndpointAccount.endOtherLives(life: InstanceLife, nowMillis: Long) {
+    leases.values.filter { it.holder.instance == life.instance && it.holder != life }
+        .forEach { it.holderEnded(nowMillis) }
+}
--- /dev/null
+++ b/coordination/src/main/kotlin/pistachiopass/capacity/ColdStart.kt
@@ -0,0 +1,78 @@
+/** Judgement of whether an endpoint is in a cold start, and how far it has come out of it. */
+package pistachiopass.capacity
+
+import pistachiopass.model.Endpoint
+import pistachiopass.model.StartId
+
+/**
+ * Follows one endpoint: cold until its first report, and again after a new start id, a failure, silence, or when the
+ * endpoint says so.
+ *
+ * An endpoint that says that it is cold keeps its cold limit. One that is cold for another reason grows towards its
+ * budget with completed work: tokens where it has KV memory, requests where it has none.
+ */
+internal class ColdStart(private val onChange: (isCold: Boolean) -> Unit) {
+    private var startId: StartId? = null
+    private var saysCold: Boolean = false
+    private var completedTokens: Long = 0
+    private var baseTokens: Long = 0
+    private var completedRequests: Int = 0
+
+    /** Whether the endpoint is in a cold start. */
+    var isCold: Boolean = true
+        private set(value) {
+            if (field == value) return
+            field = value
+            onChange(value)
+        }
+
+    /** Takes note of a report. */
+    fun onReport(report: EndpointReport, endpoint: Endpoint) {
+        val known = startId
+        startId = report.startId
+        completedTokens = report.completedTokens
+        when {
+            known == null -> isCold = report.cold
+            known != report.startId -> chill(fromTokens = 0)
+            report.cold && !isCold -> chill(fromTokens = completedTokens)
+            saysCold && !report.cold -> isCold = false
+        }
+        saysCold = report.cold
+        warmUp(endpoint)
+    }
+
+    /** Takes note of a request that the endpoint completed. */
+    fun onCompleted(endpoint: Endpoint) {
+        completedRequests++
+        warmUp(endpoint)
+    }
+
+    /** Makes the endpoint cold. */
+    fun chill(): Unit = chill(completedTokens)
+
+    /** Returns 0.0 at the cold limit up to 1.0 at the whole budget. */
+    fun warmth(endpoint: Endpoint): Double = when {
+        !isCold -> 1.0
+        saysCold || startId == null -> 0.0
+        else -> progress(endpoint)
+    }
+
+    private fun chill(fromTokens: Long) {
+        isCold = true
+        baseTokens = fromTokens
+        completedRequests = 0
+    }
+
+    private fun warmUp(endpoint: Endpoint) {
+        if (isCold && !saysCold && progress(endpoint) >= 1.0) isCold = false
+    }
+
+    private fun progress(endpoint: Endpoint): Double {
+        val growthTokens = endpoint.budget.warm.tokens - endpoint.budget.cold.tokens
+        val progress = when {
+            growthTokens > 0 -> (completedTokens - baseTokens).toDouble() / growthTokens
+            else -> completedRequests.toDouble() / endpoint.slots.coerceAtLeast(1)
+        }
+        return progress.coerceIn(0.0, 1.0)
+    }
+}
--- /dev/null
+++ b/coordination/src/main/kotlin/pistachiopass/capacity/EndpointAccount.kt
@@ -0,0 +1,128 @@
+/**
+ * The account that an owner keeps of one endpoint: pledges, leases, the last report and the cold start.
+ *
+ * A lease is granted only if it fits both bounds. The first: for each pledge, what leases draw from it stays within
+ * its share. The second: what this account has leased and what the report shows besides stay within the budget.
+ */
+package pistachiopass.capacity
+
+import pistachiopass.model.Endpoint
+import pistachiopass.model.InstanceId
+import pistachiopass.model.RequestId
+import kotlin.math.max
+
+/** Says what an account follows: the endpoint, who holds which share, and whether it takes new work. */
+public data class EndpointDuty(
+    val endpoint: Endpoint,
+    val shares: Map<InstanceId, Share>,
+    /** Whether new leases may be granted: the endpoint is active and its data centre in service. */
+    val isOpen: Boolean,
+    /** Whether this instance is the published owner, which cancels orphans of earlier owners. */
+    val isOwned: Boolean,
+)
+
+/** Keeps one account; guarded by the table. */
+internal class EndpointAccount(
+    duty: EndpointDuty,
+    private val times: CapacityTimes,
+    onTemperature: (isCold: Boolean) -> Unit,
+) {
+    private val ended: HashMap<RequestId, Long> = HashMap()
+    private var changeTakenAtMillis: Long = Long.MIN_VALUE
+    private var reportedAtMillis: Long? = null
+
+    val pledges: HeldPledges = HeldPledges()
+    val leases: LinkedHashMap<RequestId, Lease> = LinkedHashMap()
+    val foreign: ForeignLeases = ForeignLeases(times)
+    val coldStart: ColdStart = ColdStart(onTemperature)
+
+    var duty: EndpointDuty = duty
+        set(value) {
+            if (value.isOpen && !field.isOpen) coldStart.chill()
+            field = value
+        }
+
+    var report: EndpointReport? = null
+        private set
+
+    val warmth: Double get() = coldStart.warmth(duty.endpoint)
+
+    /** Returns the draws for a lease of [needed], or the reason why there is no lease. */
+    fun tryDraw(needed: Capacity, nowMillis: Long): DrawOutcome {
+        chillIfSilent(nowMillis)
+        val usage = usage()
+        val limit = duty.endpoint.budget.at(warmth)
+        val refusal = when {
+            !duty.isOpen -> LeaseRefusal.CLOSED
+            !duty.endpoint.budget.warm.covers(needed) -> LeaseRefusal.TOO_LARGE
+            report == null -> LeaseRefusal.NO_REPORT
+            !limit.covers(usage.total + needed) -> if (coldStart.isCold) LeaseRefusal.COLD_FULL else LeaseRefusal.FULL
+            else -> null
+        }
+        return refusal?.let(DrawOutcome::Refused)
+            ?: PledgeDrawing(duty, warmth, usage, usablePledges(nowMillis)).draw(needed)
+    }
+
+    /** Takes a report in unless a later one is known. */
+    fun onReport(next: EndpointReport, nowMillis: Long) {
+        val previous = report
+        reportedAtMillis = nowMillis
+        if (previous != null && previous.takenAtMillis >= next.takenAtMillis) return
+        if (previous == null || next.differsFrom(previous)) changeTakenAtMillis = next.takenAtMillis
+        report = next
+        coldStart.onReport(next, duty.endpoint)
+        ended.values.removeIf { it + times.inFlightMillis <= next.takenAtMillis }
+        foreign.onReport(next.requests.filter { it.id !in leases }, nowMillis)
+        confirmAbsences(next)
+    }
+
+    /** Removes a lease of which the endpoint is known to hold nothing. */
+    fun end(lease: RequestId, nowMillis: Long) {
+        leases.remove(lease) ?: return
+        ended[lease] = nowMillis
+    }
+
+    /** Returns whether the endpoint has given no report for too long. */
+    fun isSilent(nowMillis: Long): Boolean = reportedAtMillis.let { it == null || nowMillis - it > times.silenceMillis }
+
+    /** Makes the endpoint cold when it has given no report for too long. */
+    fun chillIfSilent(nowMillis: Long) {
+        if (report != null && isSilent(nowMillis)) coldStart.chill()
+    }
+
+    /** Expires the leases that were not renewed in time and returns them. */
+    fun expireLeases(nowMillis: Long): List<Lease> =
+        leases.values.filter { it.isOverdue(nowMillis, times) }.onEach { it.expire(nowMillis) }
+
+    /** Returns all that leases and the report say is or may be in use. */
+    fun usage(): Usage {
+        val usage = Usage()
+        leases.values.forEach { usage.add(it.facts.reserved, it.facts.draws) }
+        report?.let { addReported(it, usage) }
+        return usage
+    }
+
+    private fun addReported(report: EndpointReport, usage: Usage) {
+        val uses = report.requests.filter { it.id !in leases && it.id !in ended }.map { it.use() }
+        uses.forEach { usage.add(it.amount, it.draws) }
+        val unlistedTokens = max(0, report.usedTokens - report.requests.sumOf { it.tokens })
+        usage.add(Capacity(unlistedTokens, 0), emptyList())
+    }
+
+    /** Ends leases that two reports do not list, taken when no request under them could still arrive. */
+    private fun confirmAbsences(report: EndpointReport) {
+        val listed = report.requests.mapTo(HashSet()) { it.id }
+        leases.values.filter { it.id in listed }.forEach(Lease::presentInReport)
+        val absent = leases.values.filter {
+            it.id !in listed && it.state != LeaseState.ACTIVE && it.settledMillis(times) < changeTakenAtMillis
+        }
+        absent.filter { it.absentInReport() }.forEach { leases.remove(it.id) }
+    }
+
+    private fun usablePledges(nowMillis: Long): List<ArrivedPledge> {
+        val takenAtMillis = report?.takenAtMillis ?: return emptyList()
+        return pledges.unexpired(nowMillis + times.shortestSendMillis)
+            .filter { it.sinceMillis + times.inFlightMillis <= takenAtMillis }
+            .map { it.pledge }
+    }
+}
--- /dev/null
+++ b/coordination/src/main/kotlin/pistachiopass/capacity/HeldPledges.kt
@@ -0,0 +1,35 @@
+/** The pledges that an owner holds for one endpoint. */
+package pistachiopass.capacity
+
+import pistachiopass.model.InstanceId
+
+/** A pledge as it arrived; [expiresAtMillis] is a reading of the owner's clock. */
+internal class ArrivedPledge(
+    val life: InstanceLife,
+    val sequence: Long,
+    val share: Share,
+    val expiresAtMillis: Long,
+) {
+    val pledger: InstanceId get() = life.instance
+}
+
+/** Keeps the newest pledge of each instance and since when its pledges have followed each other without a gap. */
+internal class HeldPledges {
+    private val held: HashMap<InstanceId, HeldPledge> = HashMap()
+
+    /** Takes a pledge unless it has expired on the way or a later one has arrived; returns whether a series began. */
+    fun accept(pledge: ArrivedPledge, nowMillis: Long): Boolean {
+        val before = held[pledge.pledger]?.takeIf { it.pledge.life == pledge.life }
+        val isLate = before != null && before.pledge.sequence >= pledge.sequence
+        if (isLate || pledge.expiresAtMillis <= nowMillis) return false
+        val continued = before?.takeIf { it.pledge.expiresAtMillis > nowMillis }
+        held[pledge.pledger] = HeldPledge(pledge, continued?.sinceMillis ?: nowMillis)
+        return continued == null
+    }
+
+    /** Returns the unexpired pledges. */
+    fun unexpired(nowMillis: Long): List<HeldPledge> = held.values.filter { it.pledge.expiresAtMillis > nowMillis }
+}
+
+/** A pledge and the start of the series that it continues. */
+internal class HeldPledge(val pledge: ArrivedPledge, val sinceMillis: Long)
--- /dev/null
+++ b/coordination/src/main/kotlin/pistachiopass/capacity/LeaseTable.kt
@@ -0,0 +1,152 @@
+/**
+ * The owner's side: accounts of endpoints, out of which leases are granted.
+ *
+ * Every instance has a table. The published owner's table holds the pledges of the others; an instance that reaches
+ * no owner pledges to its own. See docs/design/capacity.md for why no endpoint is overrun.
+ */
+package pistachiopass.capacity
+
+import pistachiopass.model.EndpointId
+import pistachiopass.model.InstanceId
+import pistachiopass.model.RequestId
+import pistachiopass.model.StartId
+import pistachiopass.status.LeaseStatus
+
+/** Identifies one life of an instance. */
+public data class InstanceLife(val instance: InstanceId, val startId: StartId)
+
+/** Returns a table without endpoints. */
+public fun leaseTableOf(
+    self: InstanceLife,
+    times: CapacityTimes = CapacityTimes(),
+    clock: LocalClock = LocalClock(),
+    listener: CapacityListener = CapacityListener.NONE,
+): LeaseTable = LeaseTable(self, times, clock, listener)
+
+/** Grants, renews, takes back and expires leases; safe for use by many threads. */
+public class LeaseTable internal constructor(
+    private val self: InstanceLife,
+    private val times: CapacityTimes,
+    private val clock: LocalClock,
+    private val listener: CapacityListener,
+) {
+    private val accounts: HashMap<EndpointId, EndpointAccount> = HashMap()
+    private val lives: HolderLives = HolderLives()
+    private val life: String = self.startId.value.takeLast(LIFE_DIGITS)
+    private var sequence: Long = 0
+
+    /** Puts [duties] in place of all earlier ones; accounts of endpoints that are not in it are dropped. */
+    @Synchronized
+    public fun configure(duties: List<EndpointDuty>) {
+        accounts.keys.retainAll(duties.mapTo(HashSet()) { it.endpoint.id })
+        duties.forEach { duty ->
+            val id = duty.endpoint.id
+            accounts.getOrPut(id) { EndpointAccount(duty, times) { listener.onTemperature(id, it) } }.duty = duty
+        }
+    }
+
+    /** Takes pledges and renewals in and returns the clock reading that the next pledges are to echo. */
+    @Synchronized
+    public fun onHeartbeat(sender: InstanceLife, heartbeat: Heartbeat): HeartbeatAnswer {
+        val now = clock.nowMillis()
+        if (lives.note(sender)) accounts.values.forEach { it.endOtherLives(sender, now) }
+        val echoed = heartbeat.echoed?.takeIf { it.startId == self.startId }
+        if (echoed != null) {
+            val expiresAtMillis = echoed.millis + times.pledgeMillis
+            heartbeat.pledges.forEach { pledge ->
+                val arrived = ArrivedPledge(sender, heartbeat.sequence, pledge.share, expiresAtMillis)
+                val isNewSeries = accounts[pledge.endpoint]?.pledges?.accept(arrived, now) == true
+                if (isNewSeries) listener.onPledged(pledge.endpoint, sender.instance)
+            }
+        }
+        heartbeat.running.forEach { running ->
+            val account = accounts[running.endpoint]
+            account?.leases?.get(running.lease)?.takeIf { it.holder == sender }?.renew(now)
+            account?.foreign?.renew(running.lease, now)
+        }
+        return HeartbeatAnswer(
+            OwnerTime(self.startId, now),
+            accounts.values.filter { it.duty.isOwned }.map { it.summary(now) }
+        )
+    }
+
+    /** Returns a grant, or why there is none at this moment. */
+    @Synchronized
+    public fun request(holder: InstanceLife, request: LeaseRequest): LeaseReply {
+        val now = clock.nowMillis()
+        if (lives.note(holder)) accounts.values.forEach { it.endOtherLives(holder, now) }
+        val outcome = accounts[request.endpoint]?.tryDraw(request.needed, now)
+            ?: DrawOutcome.Refused(LeaseRefusal.NOT_OWNER)
+        return when (outcome) {
+            is DrawOutcome.Refused -> LeaseReply(refusal = outcome.reason)
+                .also { listener.onRefused(request, outcome.reason, holder.instance) }
+            is DrawOutcome.Drawn -> LeaseReply(grant(holder, request, outcome, now))
+        }
+    }
+
+    /** Takes a lease back. */
+    @Synchronized
+    public fun release(release: LeaseRelease) {
+        val account = accounts[release.endpoint] ?: return
+        val now = clock.nowMillis()
+        if (release.end == LeaseEnd.FAILED) account.coldStart.chill()
+        val lease = account.leases[release.lease] ?: return
+        listener.onReleased(release)
+        if (release.end == LeaseEnd.COMPLETED) account.coldStart.onCompleted(account.duty.endpoint)
+        if (release.end.holdsNothing) account.end(lease.id, now) else lease.release(now)
+    }
+
+    /** Takes in a load report. */
+    @Synchronized
+    public fun onReport(endpoint: EndpointId, report: EndpointReport) {
+        accounts[endpoint]?.onReport(report, clock.nowMillis())
+    }
+
+    /** Takes note that the endpoint, asked at [askedAtMillis], confirmed that it holds nothing for a lease. */
+    @Synchronized
+    public fun onCancelled(endpoint: EndpointId, lease: RequestId, askedAtMillis: Long) {
+        val account = accounts[endpoint] ?: return
+        val held = account.leases[lease] ?: return
+        if (askedAtMillis >= held.settledMillis(times)) account.end(lease, clock.nowMillis())
+    }
+
+    /** Expires leases, makes silent endpoints cold, and returns the requests that should be cancelled. */
+    @Synchronized
+    public fun sweep(): List<RunningLease> {
+        val now = clock.nowMillis()
+        return accounts.values.flatMap { account ->
+            account.chillIfSilent(now)
+            account.expireLeases(now).forEach {
+                listener.onExpired(account.duty.endpoint.id, it.id, it.holder.instance)
+            }
+            account.orphans(now, times).map { RunningLease(account.duty.endpoint.id, it) }
+        }
+    }
+
+    /** Returns the state of each endpoint's account. */
+    @Synchronized
+    public fun accounts(): List<AccountStatus> = accounts.values.map { it.status(clock.nowMillis()) }
+
+    /** Returns number and size of all leases that count. */
+    @Synchronized
+    public fun status(): LeaseStatus {
+        val leases = accounts.values.flatMap { it.leases.values }
+        return LeaseStatus(leases.size, leases.sumOf { it.facts.reserved.tokens })
+    }
+
+    private fun grant(
+        holder: InstanceLife,
+        request: LeaseRequest,
+        drawn: DrawOutcome.Drawn,
+        nowMillis: Long,
+    ): LeaseGrant {
+        val facts = LeaseFacts(self.instance, life, sequence++, request.remainingMillis, drawn.draws)
+        val sendUntilMillis = minOf(drawn.expiresAtMillis, nowMillis + times.sendMillis)
+        val lease = Lease(facts.toLeaseId(), holder, facts, nowMillis, sendUntilMillis)
+        accounts.getValue(request.endpoint).leases[lease.id] = lease
+        return LeaseGrant(lease.id, OwnerTime(self.startId, nowMillis), sendUntilMillis)
+            .also { listener.onGranted(request, it, holder.instance) }
+    }
+}
+
+private const val LIFE_DIGITS: Int = 12
--- /dev/null
+++ b/coordination/src/main/kotlin/pistachiopass/capacity/Orphans.kt
@@ -0,0 +1,10 @@
+/** Requests on an endpoint for whose answer nobody waits any more. */
+package pistachiopass.capacity
+
+import pistachiopass.model.RequestId
+
+/** Returns the requests to cancel: of this account's leases, and of other owners' leases where it is the published one. */
+internal fun EndpointAccount.orphans(nowMillis: Long, times: CapacityTimes): List<RequestId> {
+    val own = leases.values.filter { it.isOrphan(nowMillis, times) }.map { it.id }
+    return if (duty.isOwned) own + foreign.orphans(nowMillis) else own
+}
--- /dev/null
+++ b/coordination/src/main/kotlin/pistachiopass/capacity/Pledger.kt
@@ -0,0 +1,99 @@
+/**
+ * The pledger's side: to which owner an instance pledges its share of each endpoint.
+ *
+ * A pledge to another owner, or to another life of the same one, is sent only after the pledge before it has expired
+ * for certain. The owner counts a pledge from a reading of its own clock that this instance had received before it
+ * sent the pledge; this instance counts it from the send, which is later, and adds a margin for the drift of clocks.
+ */
+package pistachiopass.capacity
+
+import pistachiopass.model.EndpointId
+import pistachiopass.model.InstanceId
+
+/** Decides on pledges; safe for use by many threads. */
+public class Pledger(
+    private val self: InstanceId,
+    private val times: CapacityTimes,
+    private val clock: LocalClock,
+) {
+    private val owners: HashMap<InstanceId, KnownOwner> = HashMap()
+    private val placed: HashMap<EndpointId, PlacedPledge> = HashMap()
+    private var sequence: Long = 0
+
+    /**
+     * Returns the heartbeat to send now to each owner, this instance itself included.
+     *
+     * [wanted] gives the published owner of each endpoint and [shares] what this instance may pledge. [running] gives
+     * the leases whose renewal an owner expects.
+     */
+    @Synchronized
+    public fun heartbeats(
+        wanted: Map<EndpointId, InstanceId>,
+        shares: Map<EndpointId, Share>,
+        running: Map<InstanceId, List<RunningLease>> = emptyMap(),
+    ): Map<InstanceId, Heartbeat> {
+        val now = clock.nowMillis()
+        placed.keys.retainAll(wanted.keys + placed.filterValues { it.untilMillis > now }.keys)
+        val pledges = wanted.entries.groupBy({ (endpoint, owner) -> place(endpoint, owner, now) }) { (endpoint, _) ->
+            EndpointPledge(endpoint, shares[endpoint] ?: Share.NONE)
+        }
+        val receivers = wanted.values.toSet() + self + running.keys
+        sequence++
+        return receivers.associateWith { owner ->
+            Heartbeat(
+                sequence,
+                owners[owner]?.time,
+                pledges[owner].orEmpty().filterNot { it.share.isEmpty },
+                running[owner].orEmpty(),
+            )
+        }
+    }
+
+    /** Takes note of the answer to a heartbeat that was sent when this clock read [sentAtMillis]. */
+    @Synchronized
+    public fun onAnswer(owner: InstanceId, sentAtMillis: Long, answer: HeartbeatAnswer) {
+        val known = owners[owner]?.time?.takeIf { it.startId == answer.time.startId }
+        val isLate = known != null && known.millis >= answer.time.millis
+        if (!isLate) owners[owner] = KnownOwner(answer.time, sentAtMillis, clock.nowMillis())
+    }
+
+    /**
+     * Returns a reading of this clock that comes no later than the reading [ownerMillis] of that owner's clock, or
+     * null when that life of the owner has not answered a heartbeat.
+     */
+    @Synchronized
+    public fun localMillisOrNull(owner: InstanceId, at: OwnerTime, ownerMillis: Long): Long? {
+        val known = owners[owner]?.takeIf { it.time.startId == at.startId } ?: return null
+        return known.sentAtMillis + (ownerMillis - known.time.millis)
+    }
+
+    /** Returns to whom the share of [endpoint] is pledged, or null when it is pledged to nobody. */
+    @Synchronized
+    public fun pledgedToOrNull(endpoint: EndpointId): InstanceId? =
+        placed[endpoint]?.takeIf { it.untilMillis > clock.nowMillis() }?.owner?.instance
+
+    /** Forgets owners that are not in [published]; readings of their clocks are worth nothing any more. */
+    @Synchronized
+    public fun retain(published: Set<InstanceId>) {
+        owners.keys.retainAll(published + self)
+    }
+
+    /** Returns the owner to pledge to now, or null while an earlier pledge elsewhere may still count. */
+    private fun place(endpoint: EndpointId, wanted: InstanceId, nowMillis: Long): InstanceId? {
+        val target = targetOrNull(wanted, nowMillis)
+        val current = placed[endpoint]?.takeIf { it.untilMillis > nowMillis }
+        val owner = target?.takeIf { current == null || current.owner == it } ?: return null
+        placed[endpoint] = PlacedPledge(owner, nowMillis + times.pledgeMillis + times.driftMillis)
+        return owner.instance
+    }
+
+    private fun targetOrNull(wanted: InstanceId, nowMillis: Long): InstanceLife? {
+        val known = owners[wanted]?.takeIf { nowMillis - it.heardAtMillis <= times.unreachableMillis }
+        val target = if (known != null) wanted else self
+        return owners[target]?.let { InstanceLife(target, it.time.startId) }
+    }
+
+    private class KnownOwner(val time: OwnerTime, val sentAtMillis: Long, val heardAtMillis: Long)
+
+    private class PlacedPledge(val owner: InstanceLife, val untilMillis: Long)
+}
--- /dev/null
+++ b/coordination/src/main/kotlin/pistachiopass/capacity/SettlingShares.kt
@@ -0,0 +1,48 @@
+/** The shares that an instance may pledge while the published tables change. */
+package pistachiopass.capacity
+
+import pistachiopass.model.Endpoint
+import pistachiopass.model.EndpointId
+import pistachiopass.model.Instance
+import pistachiopass.model.InstanceId
+
+/**
+ * Gives the shares of [self]: a share that shrinks does so at once, one that grows does so after the settle time.
+ *
+ * By then every instance has seen the change and no pledge of an earlier, larger share counts any more. A process
+ * that has just started does not know what its earlier life or other instances may still hold, so its shares count as
+ * grown from nothing.
+ */
+public class SettlingShares(
+    private val self: InstanceId,
+    private val times: CapacityTimes,
+    private val clock: LocalClock,
+) {
+    private val past: ArrayDeque<PastShares> = ArrayDeque()
+    private var present: Map<EndpointId, Share> = emptyMap()
+    private var tables: Pair<List<Endpoint>, List<Instance>>? = null
+
+    /** Takes note of the tables in force; costs nothing while they are the same. */
+    @Synchronized
+    public fun update(endpoints: List<Endpoint>, instances: List<Instance>) {
+        val changed = endpoints to instances
+        if (tables == changed) return
+        tables = changed
+        past.addLast(PastShares(present, clock.nowMillis()))
+        present = endpoints.associate { it.id to (instances.sharesOf(it)[self] ?: Share.NONE) }
+    }
+
+    /** Returns the share of each endpoint that may be pledged now. */
+    @Synchronized
+    public fun settled(): Map<EndpointId, Share> {
+        val now = clock.nowMillis()
+        while (past.isNotEmpty() && past.first().replacedAtMillis + times.settleMillis <= now) past.removeFirst()
+        return present.mapValues { (endpoint, share) ->
+            past.fold(share) { least, earlier -> minOf(least, earlier.of(endpoint)) }
+        }
+    }
+
+    private class PastShares(val shares: Map<EndpointId, Share>, val replacedAtMillis: Long) {
+        fun of(endpoint: EndpointId): Share = shares[endpoint] ?: Share.NONE
+    }
+}
--- /dev/null
+++ b/coordination/src/main/kotlin/pistachiopass/capacity/Shares.kt
@@ -0,0 +1,40 @@
+/**
+ * Ownership of endpoints and the split of their budgets, as functions of the published tables alone.
+ *
+ * The live instances of an endpoint's data centre hold equal shares of its budget; where there are none, all live
+ * instances do. One of them, the owner, grants leases out of the shares that the others pledge to it.
+ */
+package pistachiopass.capacity
+
+import pistachiopass.model.Endpoint
+import pistachiopass.model.Instance
+import pistachiopass.model.InstanceId
+import pistachiopass.model.InstanceState
+import pistachiopass.routing.firstFor
+
+/** Returns the instances that hold shares of [endpoint]. */
+public fun List<Instance>.shareHoldersOf(endpoint: Endpoint): List<Instance> {
+    val live = filter { it.state == InstanceState.LIVE }
+    return live.filter { it.dataCentre == endpoint.dataCentre }.ifEmpty { live }
+}
+
+/** Returns the instance that grants leases on [endpoint], or null when no instance is live. */
+public fun List<Instance>.ownerOrNull(endpoint: Endpoint): InstanceId? =
+    shareHoldersOf(endpoint).firstFor("owner:${endpoint.id}") { it.id.value }?.id
+
+/** Returns the share of each holder; the shares of an endpoint add up to its budget, warm and cold. */
+public fun List<Instance>.sharesOf(endpoint: Endpoint): Map<InstanceId, Share> {
+    val holders = shareHoldersOf(endpoint)
+    val restHolder = holders.firstFor("remainder:${endpoint.id}") { it.id.value }?.id
+    return holders.associate { it.id to endpoint.budget.part(holders.size, withRest = it.id == restHolder) }
+}
+
+private fun Share.part(count: Int, withRest: Boolean): Share = Share(
+    warm.part(count, withRest),
+    cold.part(count, withRest)
+)
+
+private fun Capacity.part(count: Int, withRest: Boolean): Capacity = Capacity(
+    tokens / count + if (withRest) tokens % count else 0,
+    slots / count + if (withRest) slots % count else 0,
+)
--- /dev/null
+++ b/coordination/src/test/kotlin/pistachiopass/capacity/CapacitySimulation.kt
@@ -0,0 +1,217 @@
+/**
+ * A small simulation of one data centre in virtual time: instances, engines and a network that loses, doubles, delays
+ * and reorders messages. Everything follows from the seed. [Invariants] are checked after every tick.
+ */
+package pistachiopass.capacity
+
+import pistachiopass.model.DataCentreId
+import pistachiopass.model.Endpoint
+import pistachiopass.model.EndpointId
+import pistachiopass.model.Instance
+import pistachiopass.model.InstanceId
+import pistachiopass.model.RequestId
+import java.util.PriorityQueue
+import kotlin.random.Random
+
+/** A fault of the code itself, which the checks must find. */
+internal enum class CodeFault {
+    NONE,
+
+    /** Owners count pledges from their arrival. */
+    PLEDGES_FROM_ARRIVAL,
+
+    /** Pledgers move a pledge before the earlier one has expired. */
+    MOVES_AT_ONCE,
+
+    /** Holders send without a look at their lease. */
+    SENDS_WITHOUT_CHECK,
+
+    /** Owners do not see what runs under leases of others. */
+    IGNORES_REPORTED_REQUESTS,
+
+    /** Grown shares are pledged at once, also by a process that has just started. */
+    SHARES_UNSETTLED,
+
+    /** Owners do not see that an engine is cold. */
+    IGNORES_COLD,
+
+    /** Nothing but a release ends a lease. */
+    NEVER_ENDS_LOST_LEASES,
+    ;
+
+    val sendsWithoutCheck get() = this == SENDS_WITHOUT_CHECK
+    val losesCancels get() = this == NEVER_ENDS_LOST_LEASES
+
+    fun pledgerTimes(times: CapacityTimes) = if (this == MOVES_AT_ONCE) times.copy(pledgeMillis = 0) else times
+
+    fun settlingTimes(times: CapacityTimes) =
+        if (this == SHARES_UNSETTLED) times.copy(pledgeMillis = 0, tableLagMillis = 0, driftMillis = 0) else times
+
+    fun arrived(heartbeat: Heartbeat, receiver: InstanceLife, clock: LocalClock): Heartbeat {
+        val isCounted = this == PLEDGES_FROM_ARRIVAL && heartbeat.echoed?.startId == receiver.startId
+        return if (isCounted) heartbeat.copy(echoed = OwnerTime(receiver.startId, clock.nowMillis())) else heartbeat
+    }
+
+    fun read(report: EndpointReport): EndpointReport = when (this) {
+        IGNORES_REPORTED_REQUESTS -> report.copy(requests = emptyList(), usedTokens = 0)
+        IGNORES_COLD -> report.copy(cold = false)
+        NEVER_ENDS_LOST_LEASES -> report.copy(usedTokens = 0, completedTokens = 0, requests = emptyList())
+        else -> report
+    }
+}
+
+/** Delivers each message to the life of the receiver that runs when it arrives, if the two can reach each other. */
+internal class SimulatedNetwork(private val sim: CapacitySimulation, private val random: Random) {
+    private val inFlight = PriorityQueue<Delivery>(compareBy<Delivery> { it.atMillis }.thenBy { it.order })
+    private var order = 0L
+    var isFaulty = true
+    var groupOf: (InstanceId) -> Int = { 0 }
+
+    fun send(from: InstanceId, to: InstanceId, handle: SimulatedInstance.() -> Unit) {
+        val copies = if (!isFaulty) 1 else random.nextInt(10).let { if (it == 0) 0 else if (it == 1) 2 else 1 }
+        repeat(copies) {
+            val longDelay = isFaulty && random.nextInt(20) == 0
+            val delayMillis = if (longDelay) random.nextLong(12_000) else random.nextLong(1, 200)
+            inFlight += Delivery(sim.nowMillis + delayMillis, order++, from, to, handle)
+        }
+    }
+
+    fun deliver() {
+        while (inFlight.isNotEmpty() && inFlight.peek().atMillis <= sim.nowMillis) {
+            val message = inFlight.poll()
+            val receiver = sim.instances[message.to] ?: continue
+            when {
+                groupOf(message.from) != groupOf(message.to) -> Unit
+                receiver.pausedUntilMillis > sim.nowMillis ->
+                    inFlight += Delivery(receiver.pausedUntilMillis, order++, message.from, message.to, message.handle)
+                else -> message.handle(receiver)
+            }
+        }
+    }
+
+    private class Delivery(
+        val atMillis: Long,
+        val order: Long,
+        val from: InstanceId,
+        val to: InstanceId,
+        val handle: SimulatedInstance.() -> Unit,
+    )
+}
+
+internal class CapacitySimulation(seed: Int, val fault: CodeFault = CodeFault.NONE, size: Int = 8) {
+    val random = Random(seed)
+    val times = CapacityTimes()
+    val names = List(size) { InstanceId("i$it") }
+    val endpoints = List(2) {
+        Endpoint(
+            EndpointId("e$it"),
+            DataCentreId("d"),
+            "127.0.0.1:1",
+            budgetTokens = 80_000,
+            slots = 16,
+            coldBudgetTokens = 17_000,
+            coldSlots = 5,
+        )
+    }
+    val engines = endpoints.map(::SimulatedEngine)
+    val network = SimulatedNetwork(this, random)
+    val instances = HashMap<InstanceId, SimulatedInstance>()
+    private val arrivals = ArrayList<Pair<Long, () -> Unit>>()
+    private val zombies = ArrayList<SimulatedInstance>()
+    private var published = names.map(::published)
+    private var version = 1
+    private val invariants = Invariants(this)
+    var nowMillis = 0L
+        private set
+    var isLoaded = true
+
+    init {
+        names.forEach(::start)
+    }
+
+    val everyTable get() = (instances.values + zombies).map { it.table }
+
+    fun start(name: InstanceId) {
+        instances[name]?.let { zombies += it }
+        instances[name] = SimulatedInstance(name, this, random).also { it.see(version, published) }
+    }
+
+    /** Publishes a list, which each instance sees within the table lag. */
+    fun publish(members: Collection<InstanceId>) {
+        published = members.map(::published)
+        val list = published
+        val listVersion = ++version
+        names.forEach { name ->
+            at(
+                nowMillis + random.nextLong(times.tableLagMillis - TICK_MILLIS)
+            ) { instances[name]?.see(listVersion, list) }
+        }
+    }
+
+    fun toEngine(endpoint: EndpointId, lease: RequestId, needed: Capacity, runMillis: Long) {
+        val sentAt = nowMillis
+        at(nowMillis + random.nextLong(times.inFlightMillis - TICK_MILLIS)) {
+            val holds = needed.tokens / 2 + random.nextLong(needed.tokens / 2)
+            engines.first { it.endpoint.id == endpoint }.requests[lease] =
+                EngineRequest(needed, holds, nowMillis + runMillis, sentAt)
+        }
+    }
+
+    fun at(millis: Long, action: () -> Unit) {
+        arrivals += millis to action
+    }
+
+    /** Runs for [millis]; returns the first broken invariant, or null. */
+    fun run(millis: Long, eachTick: () -> Unit = {}): String? {
+        val untilMillis = nowMillis + millis
+        while (nowMillis < untilMillis) {
+            nowMillis += TICK_MILLIS
+            (instances.values + zombies).forEach { it.advanceClock() }
+            eachTick()
+            val due = arrivals.filter { it.first <= nowMillis }
+            arrivals.removeAll(due)
+            due.forEach { it.second() }
+            engines.forEach { it.step(nowMillis) }
+            network.deliver()
+            instances.values.filter { it.pausedUntilMillis <= nowMillis }.forEach { it.step() }
+            invariants.brokenOrNull()?.let { return "at $nowMillis ms: $it" }
+        }
+        return null
+    }
+
+    private fun published(name: InstanceId) = Instance(name, DataCentreId("d"), "", "")
+}
+
+/** What must hold after every tick. */
+internal class Invariants(private val sim: CapacitySimulation) {
+    fun brokenOrNull(): String? = sim.engines.firstNotNullOfOrNull { overrunOrNull(it) ?: coldOverrunOrNull(it) }
+        ?: sim.endpoints.firstNotNullOfOrNull(::doublePledgeOrNull)
+
+    private fun overrunOrNull(engine: SimulatedEngine): String? {
+        val unsent = sim.instances.values.flatMap { it.maySend(engine.endpoint.id) }.map { it.needed }
+        val held = (engine.requests.values.map { it.reserved } + unsent).fold(Capacity.NONE, Capacity::plus)
+        val budget = engine.endpoint.budget.warm
+        return if (budget.covers(held)) null else "${engine.endpoint.id} may hold $held of $budget"
+    }
+
+    /** Work that was sent before the owners can have known of the cold start does not count. */
+    private fun coldOverrunOrNull(engine: SimulatedEngine): String? {
+        val since = engine.coldSinceMillis ?: return null
+        val knownAt = if (since == 0L) 0 else since + DETECTION_MILLIS
+        val held = engine.requests.values.filter { it.grantedAtMillis >= knownAt }
+            .fold(Capacity.NONE) { sum, request -> sum + request.reserved }
+        val limit = engine.endpoint.budget.cold
+        return if (limit.covers(held)) null else "cold ${engine.endpoint.id} holds $held of $limit"
+    }
+
+    private fun doublePledgeOrNull(endpoint: Endpoint): String? {
+        val pledgers = sim.everyTable.flatMap { table ->
+            table.accounts().first { it.duty.endpoint.id == endpoint.id }.pledged.keys
+        }
+        val doubled = pledgers.groupingBy { it }.eachCount().filterValues { it > 1 }.keys
+        return if (doubled.isEmpty()) null else "pledges of $doubled on ${endpoint.id} are held twice"
+    }
+}
+
+/** Report lag, poll and send window, or silence where reports are absent too. */
+private const val DETECTION_MILLIS = 4_600L
--- /dev/null
+++ b/coordination/src/test/kotlin/pistachiopass/capacity/LeaseTableTest.kt
@@ -0,0 +1,188 @@
+/** Tables of cases for shares, lease ids and single decisions of an owner. */
+package pistachiopass.capacity
+
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.CsvSource
+import pistachiopass.model.DataCentreId
+import pistachiopass.model.Endpoint
+import pistachiopass.model.EndpointId
+import pistachiopass.model.Instance
+import pistachiopass.model.InstanceId
+import pistachiopass.model.InstanceState
+import pistachiopass.model.RequestId
+import pistachiopass.model.StartId
+import pistachiopass.model.WorkspaceId
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertNull
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.TestTimeSource
+
+class LeaseTableTest {
+    private val source = TestTimeSource()
+    private val table = leaseTableOf(OWNER, TIMES, LocalClock(source))
+    private var takenAtMillis = 0L
+
+    @ParameterizedTest
+    @CsvSource("1", "2", "3", "7", "8", "26")
+    fun `shares add up to the budget and the owner is one of the data centre`(count: Int) {
+        val others = List(3) { Instance(InstanceId("o$it"), DataCentreId("other"), "", "") }
+        val leaving = Instance(InstanceId("l"), DataCentreId("d"), "", "", InstanceState.LEAVING)
+        val own = List(count) { Instance(InstanceId("i$it"), DataCentreId("d"), "", "") }
+        val shares = (others + leaving + own).sharesOf(ENDPOINT)
+        assertEquals(own.mapTo(HashSet()) { it.id }, shares.keys)
+        assertEquals(ENDPOINT.budget.warm, shares.values.map { it.warm }.reduce(Capacity::plus))
+        assertEquals(ENDPOINT.budget.cold, shares.values.map { it.cold }.reduce(Capacity::plus))
+        assertEquals(true, (others + own).ownerOrNull(ENDPOINT) in shares.keys)
+        assertEquals(others.mapTo(HashSet()) { it.id }, (others + leaving).sharesOf(ENDPOINT).keys)
+    }
+
+    @Test
+    fun `a lease id tells its facts and nothing else is taken for one`() {
+        val draws = listOf(Draw(InstanceId("a.b_c-1"), Capacity(12_345, 1)), Draw(InstanceId("b"), Capacity(0, 2)))
+        val facts = LeaseFacts(InstanceId("i1"), "00ffaa", 77, 60_000, draws)
+        assertEquals(facts, facts.toLeaseId().leaseFactsOrNull())
+        val random = Random(SEED)
+        for (text in listOf("", "r-81", "a:b:c:d", "a:b:1:2:x@1", "a:b:1:2:x@1@-1", "a:b:1:2:x@1@1:", "::::@@")) {
+            assertNull(RequestId(text).leaseFactsOrNull(), text)
+        }
+        val id = facts.toLeaseId().value
+        repeat(
+            10_000
+        ) { id.toCharArray().apply { shuffle(random) }.concatToString().let { RequestId(it).leaseFactsOrNull() } }
+    }
+
+    /** Pledges of both instances count 500 ms after they came, when a report was taken since. */
+    @ParameterizedTest
+    @CsvSource(
+        "1000, 1, 0, false,",
+        "1001, 1, 0, false, TOO_LARGE",
+        "1000, 9, 0, false, TOO_LARGE",
+        "500, 1, 500, false,",
+        "501, 1, 500, false, FULL",
+        "100, 1, 0, true,",
+        "101, 1, 0, true, COLD_FULL",
+        "100, 3, 0, true, COLD_FULL",
+    )
+    fun `both bounds decide`(tokens: Long, slots: Int, usedTokens: Long, cold: Boolean, refusal: LeaseRefusal?) {
+        configure()
+        pledge(PEER, OWNER)
+        step(600)
+        report(usedTokens, cold)
+        assertEquals(refusal, ask(tokens, slots).refusal)
+    }
+
+    @ParameterizedTest
+    @CsvSource("0, NO_REPORT", "1, PLEDGES_SHORT", "2,", "3, PLEDGES_SHORT", "4, CLOSED", "5, NOT_OWNER")
+    fun `nothing is granted without settled, unexpired pledges`(case: Int, refusal: LeaseRefusal?) {
+        configure(isOpen = case != 4)
+        pledge(PEER, OWNER)
+        step(if (case == 1) 400 else 600)
+        if (case != 0) report()
+        if (case == 3) step(TIMES.pledgeMillis - 600 - TIMES.shortestSendMillis).also { report() }
+        if (case == 5) table.configure(emptyList())
+        assertEquals(refusal, ask(1_000).refusal)
+    }
+
+    @ParameterizedTest
+    @CsvSource(
+        "COMPLETED, 0,",
+        "FREED, 0,",
+        "UNCONFIRMED, 0, FULL",
+        "UNCONFIRMED, 1, FULL",
+        "UNCONFIRMED, 2,",
+        "FAILED, 0, COLD_FULL",
+    )
+    fun `a lease counts until its end is known`(end: LeaseEnd, reports: Int, refusal: LeaseRefusal?) {
+        configure()
+        pledge(PEER, OWNER)
+        step(600)
+        report()
+        val lease = checkNotNull(ask(1_000).grant).lease
+        assertEquals(LeaseRefusal.FULL, ask(1).refusal)
+        table.release(LeaseRelease(ENDPOINT.id, lease, end))
+        repeat(reports) {
+            step(600)
+            pledge(PEER, OWNER)
+            report(completedTokens = it + 1L)
+        }
+        assertEquals(refusal, ask(1_000).refusal)
+    }
+
+    @Test
+    fun `a lease of an earlier owner is drawn from the pledges that its id names`() {
+        configure()
+        pledge(PEER, OWNER)
+        step(600)
+        val foreign = LeaseFacts(InstanceId("old"), "life", 1, 60_000, listOf(Draw(PEER.instance, Capacity(300, 1))))
+        report(usedTokens = 10, requests = listOf(HeldRequest(foreign.toLeaseId(), tokens = 10)))
+        assertEquals(LeaseRefusal.FULL, ask(701).refusal)
+        assertEquals(setOf(OWNER.instance, PEER.instance), drawsOf(ask(700)).map { it.pledger }.toSet())
+    }
+
+    @Test
+    fun `a new life of the holder and a lapsed renewal lead to a cancel, which ends the lease`() {
+        configure()
+        pledge(PEER, OWNER)
+        step(600)
+        report()
+        val lease = checkNotNull(ask(1_000, holder = PEER).grant).lease
+        assertEquals(emptyList(), table.sweep())
+        table.onHeartbeat(InstanceLife(PEER.instance, StartId("2")), Heartbeat(sequence = 1))
+        assertEquals(emptyList(), table.sweep(), "the request may still be on its way")
+        step(TIMES.sendMillis + TIMES.inFlightMillis)
+        assertEquals(listOf(RunningLease(ENDPOINT.id, lease)), table.sweep())
+        table.onCancelled(ENDPOINT.id, lease, askedAtMillis = takenAtMillis)
+        assertEquals(0, table.status().count)
+    }
+
+    private fun configure(isOpen: Boolean = true) {
+        val list = listOf(OWNER, PEER).map { Instance(it.instance, DataCentreId("d"), "", "") }
+        table.configure(listOf(EndpointDuty(ENDPOINT, list.sharesOf(ENDPOINT), isOpen, isOwned = true)))
+    }
+
+    private fun pledge(vararg from: InstanceLife) = from.forEach { life ->
+        val share = listOf(OWNER, PEER).map { Instance(it.instance, DataCentreId("d"), "", "") }
+            .sharesOf(ENDPOINT).getValue(life.instance)
+        val echoed = OwnerTime(OWNER.startId, takenAtMillis)
+        table.onHeartbeat(life, Heartbeat(takenAtMillis, echoed, listOf(EndpointPledge(ENDPOINT.id, share))))
+    }
+
+    private fun step(millis: Long) {
+        source += millis.milliseconds
+        takenAtMillis += millis
+    }
+
+    private fun report(
+        usedTokens: Long = 0,
+        cold: Boolean = false,
+        completedTokens: Long = 0,
+        requests: List<HeldRequest> = emptyList(),
+    ) = table.onReport(
+        ENDPOINT.id,
+        EndpointReport(StartId("e"), cold, usedTokens, completedTokens, requests, takenAtMillis),
+    )
+
+    private fun ask(tokens: Long, slots: Int = 1, holder: InstanceLife = OWNER) = table.request(
+        holder,
+        LeaseRequest(RequestId("r"), ENDPOINT.id, Capacity(tokens, slots), WorkspaceId("w"), tokens, 60_000),
+    )
+
+    private fun drawsOf(reply: LeaseReply) =
+        checkNotNull(checkNotNull(reply.grant).lease.leaseFactsOrNull()).draws
+}
+
+private val OWNER = InstanceLife(InstanceId("a"), StartId("1"))
+private val PEER = InstanceLife(InstanceId("b"), StartId("1"))
+private val TIMES = CapacityTimes()
+private val ENDPOINT = Endpoint(
+    EndpointId("e1"),
+    DataCentreId("d"),
+    "127.0.0.1:1",
+    budgetTokens = 1_000,
+    slots = 8,
+    coldBudgetTokens = 100,
+    coldSlots = 2,
+)
+private const val SEED = 4_711
--- /dev/null
+++ b/coordination/src/test/kotlin/pistachiopass/capacity/SimulatedEngine.kt
@@ -0,0 +1,59 @@
+/** An engine of the simulation: it holds requests, reports them late, and loses them when it restarts. */
+package pistachiopass.capacity
+
+import pistachiopass.model.Endpoint
+import pistachiopass.model.RequestId
+import pistachiopass.model.StartId
+
+/** A request on the engine; [reserved] is what it may come to hold. */
+internal class EngineRequest(
+    val reserved: Capacity,
+    val holdsTokens: Long,
+    val endsAtMillis: Long,
+    val grantedAtMillis: Long,
+)
+
+internal class SimulatedEngine(val endpoint: Endpoint) {
+    private val past = ArrayDeque<Pair<Long, EndpointReport>>()
+    private var starts = 0
+    private var completedTokens = 0L
+    val requests = LinkedHashMap<RequestId, EngineRequest>()
+    var coldSinceMillis: Long? = 0
+        private set
+
+    /** Whether reports are withheld. */
+    var isMute = false
+
+    fun restart(nowMillis: Long) {
+        requests.clear()
+        starts++
+        completedTokens = 0
+        coldSinceMillis = nowMillis
+    }
+
+    fun step(nowMillis: Long) {
+        val ended = requests.filterValues { it.endsAtMillis <= nowMillis }
+        requests.keys.removeAll(ended.keys)
+        completedTokens += ended.values.sumOf { it.holdsTokens }
+        if (completedTokens >= WARM_AFTER_TOKENS) coldSinceMillis = null
+        past.addLast(nowMillis to report(nowMillis))
+        while (past.size > REPORT_LAG_MILLIS / TICK_MILLIS + 1) past.removeFirst()
+    }
+
+    /** Returns the report of some time ago and its age, or null while there is none. */
+    fun laggedOrNull(nowMillis: Long): Pair<Long, EndpointReport>? =
+        past.firstOrNull()?.takeUnless { isMute }?.let { (takenAt, report) -> nowMillis - takenAt to report }
+
+    private fun report(nowMillis: Long) = EndpointReport(
+        StartId("engine-$starts"),
+        cold = coldSinceMillis != null,
+        usedTokens = requests.values.sumOf { it.holdsTokens },
+        completedTokens,
+        requests.map { (id, request) -> HeldRequest(id, request.holdsTokens) },
+        nowMillis,
+    )
+}
+
+internal const val TICK_MILLIS = 50L
+internal const val REPORT_LAG_MILLIS = 200L
+private const val WARM_AFTER_TOKENS = 10_000L
--- /dev/null
+++ b/coordination/src/test/kotlin/pistachiopass/capacity/SimulatedInstance.kt
@@ -0,0 +1,176 @@
+/** An instance of the simulation: the four decision classes of one life, on a clock that drifts. */
+package pistachiopass.capacity
+
+import pistachiopass.model.Endpoint
+import pistachiopass.model.EndpointId
+import pistachiopass.model.Instance
+import pistachiopass.model.InstanceId
+import pistachiopass.model.RequestId
+import pistachiopass.model.WorkspaceId
+import pistachiopass.peer.startIdOf
+import kotlin.random.Random
+import kotlin.time.Duration.Companion.microseconds
+import kotlin.time.TestTimeSource
+
+/** A lease that waits to be sent, or whose request runs. */
+internal class SimulatedRequest(val lease: HeldLease, val needed: Capacity, val sendAtMillis: Long) {
+    var endsAtMillis: Long? = null
+}
+
+internal class SimulatedInstance(val id: InstanceId, private val sim: CapacitySimulation, private val random: Random) {
+    private val source = TestTimeSource()
+    private val rate = 1.0 + random.nextDouble(-MAX_DRIFT, MAX_DRIFT)
+    private val clock = LocalClock(source)
+    val life = InstanceLife(id, startIdOf(sim.nowMillis, random))
+    private val times = sim.times
+    private val pledger = Pledger(id, sim.fault.pledgerTimes(times), clock)
+    private val shares = SettlingShares(id, sim.fault.settlingTimes(times), clock)
+    val table = leaseTableOf(life, times, clock)
+    private val held = HeldLeases(pledger, clock)
+    val requests = ArrayList<SimulatedRequest>()
+    private var list: List<Instance> = emptyList()
+    private var listVersion = 0
+    private var nextBeatMillis = 0L
+    private var nextPollMillis = 0L
+    var pausedUntilMillis = 0L
+
+    fun advanceClock() {
+        source += (TICK_MILLIS * 1_000 * rate).toLong().microseconds
+    }
+
+    /** Takes a published list in unless a newer one is known. */
+    fun see(version: Int, published: List<Instance>) {
+        if (version < listVersion) return
+        listVersion = version
+        list = published
+        shares.update(sim.endpoints, list)
+        table.configure(
+            sim.endpoints.map {
+                EndpointDuty(it, list.sharesOf(it), isOpen = true, isOwned = list.ownerOrNull(it) == id)
+            },
+        )
+    }
+
+    /** Does what is due; a paused instance is not called. */
+    fun step() {
+        if (clock.nowMillis() >= nextBeatMillis) beat()
+        if (clock.nowMillis() >= nextPollMillis) poll()
+        table.sweep().forEach(::cancel)
+        requests.toList().forEach(::advance)
+        if (sim.isLoaded && random.nextInt(REQUEST_ODDS) == 0) ask()
+    }
+
+    fun receiveHeartbeat(from: InstanceLife, heartbeat: Heartbeat, sentAtMillis: Long) {
+        val answer = table.onHeartbeat(from, sim.fault.arrived(heartbeat, life, clock))
+        val owner = id
+        sim.network.send(owner, from.instance) { onAnswer(owner, from, sentAtMillis, answer) }
+    }
+
+    private fun onAnswer(owner: InstanceId, asker: InstanceLife, sentAtMillis: Long, answer: HeartbeatAnswer) {
+        if (life == asker) pledger.onAnswer(owner, sentAtMillis, answer)
+    }
+
+    private fun beat() {
+        nextBeatMillis = clock.nowMillis() + times.heartbeatMillis
+        val wanted = sim.endpoints.mapNotNull { e -> list.ownerOrNull(e)?.let { e.id to it } }.toMap()
+        val running = held.running { wanted[it] }
+        val sentAt = clock.nowMillis()
+        pledger.heartbeats(wanted, shares.settled(), running).forEach { (owner, heartbeat) ->
+            if (owner == id) {
+                pledger.onAnswer(id, sentAt, table.onHeartbeat(life, heartbeat))
+            } else {
+                sim.network.send(id, owner) { receiveHeartbeat(this@SimulatedInstance.life, heartbeat, sentAt) }
+            }
+        }
+    }
+
+    private fun poll() {
+        nextPollMillis = clock.nowMillis() + POLL_MILLIS
+        for (engine in sim.engines) {
+            val (ageMillis, report) = engine.laggedOrNull(sim.nowMillis) ?: continue
+            val takenAtMillis = clock.nowMillis() - (ageMillis * (1 + MAX_DRIFT)).toLong() - 1
+            table.onReport(engine.endpoint.id, sim.fault.read(report).copy(takenAtMillis = takenAtMillis))
+        }
+    }
+
+    private fun ask() {
+        val endpoint = sim.endpoints.random(random)
+        val owner = pledger.pledgedToOrNull(endpoint.id) ?: return
+        val needed = Capacity(if (random.nextInt(3) == 0) random.nextLong(5_000, 40_000) else 2_000, 1)
+        val request = LeaseRequest(
+            RequestId("r"),
+            endpoint.id,
+            needed,
+            WorkspaceId("w"),
+            needed.tokens,
+            remainingMillis = MAX_RUN_MILLIS,
+        )
+        val askedAt = clock.nowMillis()
+        if (owner == id) {
+            onReply(owner, endpoint, needed, askedAt, table.request(life, request))
+        } else {
+            val asker = life
+            call(owner, { table.request(asker, request) }) { onReply(owner, endpoint, needed, askedAt, it) }
+        }
+    }
+
+    /** Calls another instance; of doubled responses the first counts, as in any transport that numbers its calls. */
+    private fun <T> call(to: InstanceId, handle: SimulatedInstance.() -> T, onResponse: (T) -> Unit) {
+        val caller = life
+        var isAnswered = false
+        sim.network.send(id, to) {
+            val response = handle()
+            sim.network.send(to, caller.instance) {
+                if (life == caller && !isAnswered) onResponse(response)
+                isAnswered = true
+            }
+        }
+    }
+
+    private fun onReply(owner: InstanceId, endpoint: Endpoint, needed: Capacity, askedAt: Long, reply: LeaseReply) {
+        val grant = reply.grant ?: return
+        val sendAt = clock.nowMillis() + if (random.nextInt(4) == 0) random.nextLong(8_000) else 0
+        requests += SimulatedRequest(held.add(owner, endpoint.id, grant, askedAt), needed, sendAt)
+    }
+
+    private fun advance(request: SimulatedRequest) {
+        val endsAt = request.endsAtMillis
+        when {
+            endsAt != null -> if (clock.nowMillis() >= endsAt) release(request, LeaseEnd.UNCONFIRMED)
+            clock.nowMillis() < request.sendAtMillis -> Unit
+            sim.fault.sendsWithoutCheck || request.lease.maySend() -> send(request)
+            else -> release(request, LeaseEnd.FREED)
+        }
+    }
+
+    private fun send(request: SimulatedRequest) {
+        val runMillis = random.nextLong(500, MAX_RUN_MILLIS / 2)
+        request.endsAtMillis = clock.nowMillis() + runMillis
+        sim.toEngine(request.lease.endpoint, request.lease.id, request.needed, runMillis)
+    }
+
+    private fun release(request: SimulatedRequest, end: LeaseEnd) {
+        requests -= request
+        held.remove(request.lease)
+        val release = LeaseRelease(request.lease.endpoint, request.lease.id, end)
+        if (request.lease.owner == id) {
+            table.release(release)
+        } else {
+            sim.network.send(id, request.lease.owner) { table.release(release) }
+        }
+    }
+
+    private fun cancel(orphan: RunningLease) {
+        if (sim.fault.losesCancels || random.nextInt(3) == 0) return
+        sim.engines.first { it.endpoint.id == orphan.endpoint }.requests.remove(orphan.lease)
+        table.onCancelled(orphan.endpoint, orphan.lease, clock.nowMillis())
+    }
+
+    fun maySend(endpoint: EndpointId): List<SimulatedRequest> =
+        requests.filter { it.endsAtMillis == null && it.lease.endpoint == endpoint && it.lease.maySend() }
+}
+
+internal const val MAX_RUN_MILLIS = 20_000L
+private const val MAX_DRIFT = 0.01
+private const val POLL_MILLIS = 300L
+private const val REQUEST_ODDS = 2
