--- a/entry/src/test/kotlin/pistachiopass/entry/peer/SocketPeerTransportTest.kt
+++ b/entry/src/test/kotlin/pistachiopass/entry/peer/SocketPeerTransportTest.kt
@@ -4,12 +4,9 @@
 import com.github.michaelbull.result.get
 import com.github.michaelbull.result.getError
 import kotlinx.coroutines.CompletableDeferred
-import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.awaitCancellation
-import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
 import org.junit.jupiter.api.AfterEach
 import pistachiopass.entry.metrics.PeerEvent
@@ -24,6 +21,7 @@
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.random.Random
 import kotlin.test.Test
+import kotlin.test.assertContentEquals
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
 import kotlin.time.Duration.Companion.seconds
@@ -66,6 +64,8 @@
             }.awaitAll()
             assertEquals(List(CALLS) { "$it" }, answers.map { it.get()?.payload?.decodeToString() })
             assertEquals(1, from.count(PeerEvent.CONNECTED))
+            val large = Random(1).nextBytes(LARGE_BYTES)
+            assertContentEquals(large, from.call(to.id, payload = large).get()?.payload)
         }
     }
 
@@ -80,7 +80,10 @@
         val client = client(TEST_LIMITS.copy(frameBytes = 1_000))
         ports[InstanceId("closed")] = KtorConnections().use { it.listen("127.0.0.1", 0).use(ByteListener::port) }
         ports[InstanceId("other")] = checkNotNull(ports[server.id])
-        ports[InstanceId("closes")] = closingServer("closes")
+        val closes = Peer("closes", ports).tracked().transport.self
+        ports[closes.instance] = fakeServer(KtorConnections().tracked(), closes) { channel ->
+            FrameReader(channel.connection).read(limitBytes = 1_000)
+        }
         val cases = listOf(
             Case("unknown", "echo", PeerFailureCode.UNREACHABLE, Verdict.NOT_RUN),
             Case("closed", "echo", PeerFailureCode.UNREACHABLE, Verdict.NOT_RUN),
@@ -108,19 +111,6 @@
         awaitUntil { server.handled.size == 1 }
     }
 
-    /** Accepts one connection, authenticates it, reads one frame and closes. */
-    private suspend fun closingServer(name: String): Int {
-        val connections = KtorConnections().tracked()
-        val listener = connections.listen("127.0.0.1", 0).tracked()
-        val identity = Peer(name, ports).tracked().transport.self
-        CoroutineScope(Dispatchers.Default).launch {
-            val channel = checkNotNull(Handshake(identity, SHARED_KEY, LifeRegistry()).accept(listener.accept()).get())
-            FrameReader(channel.connection).read(limitBytes = 1_000)
-            channel.connection.close()
-        }
-        return listener.port
-    }
-
     @Test
     fun `a call beyond the handler limit is refused as not run`() = runBlocking {
         val server = server(TEST_LIMITS.copy(handlers = 0))
@@ -147,6 +137,11 @@
         assertEquals(2, server.handled.size)
     }
 
+    @Test
+    fun `a peer that takes no bytes fills a bounded queue and what was not written is not run`() = runBlocking {
+        KtorConnections().use { checkStalledPeer(it) }
+    }
+
     @Test
     fun `a changed frame ends the connection before it is handled`() = runBlocking {
         val server = server()
@@ -187,6 +182,33 @@
         }
     }
 
+    @Test
+    fun `a call that names an earlier life of the server is refused by the server`() = runBlocking {
+        val server = server()
+        val caller = client().transport.self
+        KtorConnections().use { connections ->
+            val connection = connections.connect("127.0.0.1", checkNotNull(ports[server.id]))
+            val handshake = Handshake(caller, SHARED_KEY, LifeRegistry())
+            val channel = checkNotNull(handshake.connect(connection, server.id).get())
+            for ((callId, startId) in listOf(StartId("earlier"), server.startId).withIndex()) {
+                val call = Frame.Call(callId.toLong(), "echo", ByteArray(1), startId)
+                connection.write(channel.sealer.seal(encodeFrame(call)))
+            }
+            val reader = FrameReader(connection)
+            val frames = ArrayList<Frame>()
+            while (frames.size < 2) {
+                val sealed = checkNotNull(reader.read(limitBytes = 1_000).get())
+                val frame = channel.opener.openOrNull(sealed)?.let(::decodeFrameOrNull)
+                if (frame != Frame.KeepAlive) frames += checkNotNull(frame)
+            }
+            val refusal = frames.filterIsInstance<Frame.Refusal>().single()
+            assertEquals(0L to PeerFailureCode.OTHER_LIFE, refusal.callId to refusal.code)
+            assertEquals(1L, frames.filterIsInstance<Frame.Response>().single().callId)
+        }
+        assertEquals(1, server.count(PeerEvent.DROPPED_OTHER_LIFE))
+        assertEquals(listOf("c"), server.handled)
+    }
+
     @Test
     fun `an earlier life is refused once a newer one was seen`() = runBlocking {
         val server = server()
@@ -204,4 +226,5 @@
 }
 
 private const val CALLS = 200
+private const val LARGE_BYTES = 4_000_000
 private val ECHO = PeerMessage("echo", ByteArray(1))
--- a/standins/src/main/kotlin/pistachiopass/standins/Main.kt
+++ b/standins/src/main/kotlin/pistachiopass/standins/Main.kt
@@ -5,6 +5,8 @@
 import kotlinx.cli.ExperimentalCli
 import kotlinx.cli.Subcommand
 import pistachiopass.standins.engine.EngineCommand
+import pistachiopass.standins.load.CompareCommand
+import pistachiopass.standins.load.LoadCommand
 import pistachiopass.standins.plain.PlainCommand
 import pistachiopass.standins.platform.PlatformCommand
 
@@ -22,5 +24,7 @@
     listOf(
         PlatformCommand(),
         PlainCommand(),
+        LoadCommand(),
+        CompareCommand(),
         EngineCommand(),
     )
