Wire pledges and leases into the daemon

Instances now pledge, ask owners for leases and read the load only of endpoints whose leases they grant; blind placement and fixed shares stay as settings for measurement.

--- a/coordination/src/main/kotlin/pistachiopass/capacity/AccountStatus.kt
+++ b/coordination/src/main/kotlin/pistachiopass/capacity/AccountStatus.kt
@@ -2,6 +2,7 @@
 package pistachiopass.capacity
 
 import pistachiopass.model.InstanceId
+import pistachiopass.status.LeaseStatus
 
 /** Describes one account. */
 public data class AccountStatus(
@@ -10,6 +11,7 @@
     val isSilent: Boolean,
     /** What leases and the last report say is or may be in use. */
     val held: Capacity,
+    val leaseCount: Int,
     /** What this table's leases reserve. */
     val leased: Capacity,
     /** Unexpired pledges by pledger. */
@@ -23,6 +25,7 @@
     isCold = coldStart.isCold,
     isSilent = isSilent(nowMillis),
     held = usage().total,
+    leaseCount = leases.size,
     leased = leases.values.fold(Capacity.NONE) { sum, lease -> sum + lease.facts.reserved },
     pledged = pledges.unexpired(nowMillis).associate { it.pledge.life.instance to it.pledge.share },
     report = report,
@@ -37,3 +40,9 @@
     leases.values.filter { it.holder.instance == life.instance && it.holder != life }
         .forEach { it.holderEnded(nowMillis) }
 }
+
+/** Returns number and size of all leases that count in this table. */
+public fun LeaseTable.status(): LeaseStatus {
+    val accounts = accounts()
+    return LeaseStatus(accounts.sumOf { it.leaseCount }, accounts.sumOf { it.leased.tokens })
+}
--- a/coordination/src/main/kotlin/pistachiopass/capacity/CapacityMessages.kt
+++ b/coordination/src/main/kotlin/pistachiopass/capacity/CapacityMessages.kt
@@ -73,7 +73,7 @@
 /** Says why an owner grants no lease. */
 @Serializable
 public enum class LeaseRefusal {
-    /** The receiver has no account of the endpoint. */
+    /** The receiver is not the published owner of the endpoint and holds no pledges for it. */
     @SerialName("not-owner")
     NOT_OWNER,
 
--- a/coordination/src/main/kotlin/pistachiopass/capacity/EndpointAccount.kt
+++ b/coordination/src/main/kotlin/pistachiopass/capacity/EndpointAccount.kt
@@ -53,6 +53,7 @@
         val usage = usage()
         val limit = duty.endpoint.budget.at(warmth)
         val refusal = when {
+            !duty.isOwned && pledges.unexpired(nowMillis).isEmpty() -> LeaseRefusal.NOT_OWNER
             !duty.isOpen -> LeaseRefusal.CLOSED
             !duty.endpoint.budget.warm.covers(needed) -> LeaseRefusal.TOO_LARGE
             report == null -> LeaseRefusal.NO_REPORT
@@ -109,12 +110,19 @@
         usage.add(Capacity(unlistedTokens, 0), emptyList())
     }
 
-    /** Ends leases that two reports do not list, taken when no request under them could still arrive. */
+    /**
+     * Ends leases that two reports do not list, taken when no request under them could still arrive.
+     *
+     * A report that has not changed since may be a stale one; the cancel decides then. Plain services, which know no
+     * cancel, are believed.
+     */
     private fun confirmAbsences(report: EndpointReport) {
+        val hasMemory = duty.endpoint.budgetTokens > 0
+        val provenAtMillis = if (hasMemory) changeTakenAtMillis else report.takenAtMillis
         val listed = report.requests.mapTo(HashSet()) { it.id }
         leases.values.filter { it.id in listed }.forEach(Lease::presentInReport)
         val absent = leases.values.filter {
-            it.id !in listed && it.state != LeaseState.ACTIVE && it.settledMillis(times) < changeTakenAtMillis
+            it.id !in listed && it.state != LeaseState.ACTIVE && it.settledMillis(times) < provenAtMillis
         }
         absent.filter { it.absentInReport() }.forEach { leases.remove(it.id) }
     }
--- a/coordination/src/main/kotlin/pistachiopass/capacity/LeaseTable.kt
+++ b/coordination/src/main/kotlin/pistachiopass/capacity/LeaseTable.kt
@@ -10,7 +10,6 @@
 import pistachiopass.model.InstanceId
 import pistachiopass.model.RequestId
 import pistachiopass.model.StartId
-import pistachiopass.status.LeaseStatus
 
 /** Identifies one life of an instance. */
 public data class InstanceLife(val instance: InstanceId, val startId: StartId)
@@ -115,7 +114,7 @@
     public fun sweep(): List<RunningLease> {
         val now = clock.nowMillis()
         return accounts.values.flatMap { account ->
-            account.chillIfSilent(now)
+            if (account.pledges.unexpired(now).isNotEmpty()) account.chillIfSilent(now)
             account.expireLeases(now).forEach {
                 listener.onExpired(account.duty.endpoint.id, it.id, it.holder.instance)
             }
@@ -127,11 +126,11 @@
     @Synchronized
     public fun accounts(): List<AccountStatus> = accounts.values.map { it.status(clock.nowMillis()) }
 
-    /** Returns number and size of all leases that count. */
+    /** Returns why [needed] cannot be leased at this moment, or null when it can; changes nothing. */
     @Synchronized
-    public fun status(): LeaseStatus {
-        val leases = accounts.values.flatMap { it.leases.values }
-        return LeaseStatus(leases.size, leases.sumOf { it.facts.reserved.tokens })
+    public fun refusalOrNull(endpoint: EndpointId, needed: Capacity): LeaseRefusal? {
+        val account = accounts[endpoint] ?: return LeaseRefusal.NOT_OWNER
+        return (account.tryDraw(needed, clock.nowMillis()) as? DrawOutcome.Refused)?.reason
     }
 
     private fun grant(
--- a/coordination/src/main/kotlin/pistachiopass/capacity/Pledger.kt
+++ b/coordination/src/main/kotlin/pistachiopass/capacity/Pledger.kt
@@ -34,16 +34,17 @@
     ): Map<InstanceId, Heartbeat> {
         val now = clock.nowMillis()
         placed.keys.retainAll(wanted.keys + placed.filterValues { it.untilMillis > now }.keys)
-        val pledges = wanted.entries.groupBy({ (endpoint, owner) -> place(endpoint, owner, now) }) { (endpoint, _) ->
-            EndpointPledge(endpoint, shares[endpoint] ?: Share.NONE)
-        }
+        val pledges = wanted.entries.filterNot { shares[it.key]?.isEmpty ?: true }
+            .groupBy({ (endpoint, owner) -> place(endpoint, owner, now) }) { (endpoint, _) ->
+                EndpointPledge(endpoint, shares.getValue(endpoint))
+            }
         val receivers = wanted.values.toSet() + self + running.keys
         sequence++
         return receivers.associateWith { owner ->
             Heartbeat(
                 sequence,
                 owners[owner]?.time,
-                pledges[owner].orEmpty().filterNot { it.share.isEmpty },
+                pledges[owner].orEmpty(),
                 running[owner].orEmpty(),
             )
         }
--- a/coordination/src/test/kotlin/pistachiopass/capacity/CapacitySimulationTest.kt
+++ b/coordination/src/test/kotlin/pistachiopass/capacity/CapacitySimulationTest.kt
@@ -121,8 +121,8 @@
     private fun InstanceId.number(): Int = value.drop(1).toInt()
 }
 
-private const val SEEDS = 60
-private const val FAULT_SEEDS = 40
+private const val SEEDS = 40
+private const val FAULT_SEEDS = 60
 private const val SPLITS = 1 shl 7
 private const val SETTLED_MILLIS = 12_000L
 private const val SPLIT_MILLIS = 10_000L
--- a/coordination/src/test/kotlin/pistachiopass/capacity/SimulatedInstance.kt
+++ b/coordination/src/test/kotlin/pistachiopass/capacity/SimulatedInstance.kt
@@ -129,7 +129,7 @@
 
     private fun onReply(owner: InstanceId, endpoint: Endpoint, needed: Capacity, askedAt: Long, reply: LeaseReply) {
         val grant = reply.grant ?: return
-        val sendAt = clock.nowMillis() + if (random.nextInt(4) == 0) random.nextLong(8_000) else 0
+        val sendAt = clock.nowMillis() + if (random.nextBoolean()) random.nextLong(8_000) else 0
         requests += SimulatedRequest(held.add(owner, endpoint.id, grant, askedAt), needed, sendAt)
     }
 
--- a/entry/src/main/kotlin/pistachiopass/entry/Daemon.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/Daemon.kt
@@ -30,29 +30,36 @@
 import pistachiopass.entry.logging.tokenField
 import pistachiopass.entry.metrics.metricsOf
 import pistachiopass.entry.placement.BlindAllocator
+import pistachiopass.entry.placement.CapacityAllocator
+import pistachiopass.entry.placement.CapacityController
+import pistachiopass.entry.placement.PledgedAllocator
 import pistachiopass.entry.platform.TablesController
 import pistachiopass.entry.platform.platformClientOf
+import pistachiopass.entry.settings.Placement
 import pistachiopass.entry.settings.Settings
 import pistachiopass.model.DataCentreId
 import pistachiopass.model.Endpoint
-import pistachiopass.model.StartId
+import pistachiopass.peer.startIdOf
 import pistachiopass.routing.affinityChooser
 import pistachiopass.status.InstanceStatus
 import pistachiopass.tables.tablesInForceOf
-import java.util.UUID
+import java.security.SecureRandom
+import kotlin.random.asKotlinRandom
 import kotlin.time.TimeSource
 
 /** Runs one instance from [start] to [stop]. */
 public class Daemon(private val settings: Settings) {
     private val startedAt = TimeSource.Monotonic.markNow()
-    private val startId = StartId("${System.currentTimeMillis()}-${UUID.randomUUID()}")
+    private val startId = startIdOf(System.currentTimeMillis(), SecureRandom().asKotlinRandom())
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     private val metrics = metricsOf()
     private val memory = heldMemoryOf(settings.limits.heldBytes)
     private val tables = tablesInForceOf()
     private val platform = platformClientOf(settings.platformAddress, settings.instance)
     private val client = endpointClientOf(settings.limits.readIdleMillis)
-    private val loads = LoadController(client, ::endpoints)
+    private val peers = peerTransportOf(settings, startId, tables.state, metrics)
+    private val capacity = CapacityController(peers, client, tables.state, settings.placement, metrics)
+    private val loads = LoadController(client, ::endpointsToPoll, listener = capacity::onReport)
     private val stopFilter = StopFilter()
     private val servers = listOf(callerServer(), adminServer())
 
@@ -63,6 +70,8 @@
     public suspend fun start() {
         log(Event.START)
         TablesController(platform, tables, ::uptimeMillis).start(scope)
+        peers.listenAt(settings.peerAddress, tables.state, scope)
+        if (settings.placement != Placement.BLIND) capacity.start(scope)
         loads.start(scope)
         servers.forEach { it.startSuspend(wait = false) }
         tables.state.first { it.routes != null && it.pools != null }
@@ -78,6 +87,7 @@
         if (!drained) EventLog.log(Event.STOP_TIMED_OUT, field("running", stopFilter.runningRequests))
         servers.forEach { it.stopSuspend(SERVER_GRACE_MILLIS, SERVER_GRACE_MILLIS) }
         scope.cancel()
+        peers.close()
         client.close()
         platform.close()
         log(Event.STOP_DONE)
@@ -88,13 +98,12 @@
     }
 
     private fun callerServer(): EmbeddedServer<*, *> {
-        val allocator = BlindAllocator(settings.dataCentre, affinityChooser(), loads, ::dataCentresOut)
         val filters = listOf(
             stopFilter,
             BodyFilter(BodyReader(settings.limits.bodyBytes, memory)),
             RouteFilter(tables.state::value),
         )
-        val handler = filters.endingIn(ForwardHandler(allocator, client))
+        val handler = filters.endingIn(ForwardHandler(allocator(), client))
         val address = HostPort(settings.httpAddress)
         return embeddedServer(CIO, host = address.host, port = address.port) { serveCallers(handler) }
     }
@@ -104,8 +113,16 @@
         return embeddedServer(CIO, host = address.host, port = address.port) { serveAdmin(Admin()) }
     }
 
-    private fun endpoints(): List<Endpoint> =
-        tables.state.value.pools?.value?.pools.orEmpty().flatMap { it.endpoints }.distinctBy { it.id }
+    private fun allocator(): CapacityAllocator = when (settings.placement) {
+        Placement.BLIND -> BlindAllocator(settings.dataCentre, affinityChooser(), loads, ::dataCentresOut)
+        else -> PledgedAllocator(settings.dataCentre, affinityChooser(), capacity, ::dataCentresOut, scope)
+    }
+
+    private fun endpointsToPoll(): List<Endpoint> = when (settings.placement) {
+        Placement.BLIND ->
+            tables.state.value.pools?.value?.pools.orEmpty().flatMap { it.endpoints }.distinctBy { it.id }
+        else -> capacity.endpointsToPoll()
+    }
 
     private fun dataCentresOut(): Set<DataCentreId> = tables.state.value.pools?.value?.dataCentresOut.orEmpty()
 
@@ -131,6 +148,8 @@
             ready = isReady(),
             uptimeMillis = uptimeMillis(),
             tables = tables.statusAt(uptimeMillis()),
+            endpoints = capacity.endpointStatus(),
+            leases = capacity.leaseStatus(),
             heldBytes = memory.heldBytes,
         )
     }
--- a/entry/src/main/kotlin/pistachiopass/entry/endpoint/LoadController.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/endpoint/LoadController.kt
@@ -2,7 +2,6 @@
 package pistachiopass.entry.endpoint
 
 import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
@@ -15,19 +14,29 @@
 /** Holds the last report of an endpoint and when it came; [report] is null while the endpoint does not answer. */
 public data class ObservedLoad(val report: LoadReport?, val at: ComparableTimeMark)
 
-/** Asks endpoints for their load at regular intervals. */
+/** Takes in each report, asked for [askedMillisAgo]. */
+public fun interface LoadListener {
+    /** Is called after each answer of an endpoint. */
+    public fun onReport(endpoint: EndpointId, report: LoadReport, askedMillisAgo: Long)
+}
+
+/** Asks endpoints for their load at regular intervals; one that answers late holds up no other. */
 public class LoadController(
     private val client: EndpointClient,
     private val endpoints: () -> List<Endpoint>,
     private val timeSource: TimeSource.WithComparableMarks = TimeSource.Monotonic,
+    private val listener: LoadListener = LoadListener { _, _, _ -> },
 ) {
     private val observed: ConcurrentHashMap<EndpointId, ObservedLoad> = ConcurrentHashMap()
+    private val asked: MutableSet<EndpointId> = ConcurrentHashMap.newKeySet()
 
     /** Starts the polling; it ends with the scope. */
     public fun start(scope: CoroutineScope) {
         scope.launch {
             while (isActive) {
-                poll()
+                val current = endpoints()
+                observed.keys.retainAll(current.mapTo(HashSet()) { it.id })
+                current.filter { asked.add(it.id) }.forEach { endpoint -> scope.launch { poll(endpoint) } }
                 delay(POLL_MILLIS)
             }
         }
@@ -36,11 +45,14 @@
     /** Returns what was last observed of an endpoint, or null when it was never asked. */
     public fun loadOrNull(endpoint: EndpointId): ObservedLoad? = observed[endpoint]
 
-    private suspend fun poll(): Unit = coroutineScope {
-        val current = endpoints()
-        observed.keys.retainAll(current.mapTo(HashSet()) { it.id })
-        current.forEach { endpoint ->
-            launch { observed[endpoint.id] = ObservedLoad(client.loadOrNull(endpoint), timeSource.markNow()) }
+    private suspend fun poll(endpoint: Endpoint) {
+        val askedAt = timeSource.markNow()
+        try {
+            val report = client.loadOrNull(endpoint)
+            observed[endpoint.id] = ObservedLoad(report, timeSource.markNow())
+            if (report != null) listener.onReport(endpoint.id, report, askedAt.elapsedNow().inWholeMilliseconds)
+        } finally {
+            asked -= endpoint.id
         }
     }
 }
--- a/entry/src/main/kotlin/pistachiopass/entry/filter/ForwardHandler.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/filter/ForwardHandler.kt
@@ -4,7 +4,7 @@
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.andThen
-import com.github.michaelbull.result.mapBoth
+import com.github.michaelbull.result.getError
 import io.ktor.client.request.HttpRequestBuilder
 import io.ktor.client.request.header
 import io.ktor.client.request.setBody
@@ -13,6 +13,7 @@
 import io.ktor.http.contentType
 import kotlinx.coroutines.NonCancellable
 import kotlinx.coroutines.withContext
+import pistachiopass.capacity.LeaseEnd
 import pistachiopass.entry.endpoint.EndpointClient
 import pistachiopass.entry.http.Completion
 import pistachiopass.entry.http.Handler
@@ -44,18 +45,34 @@
         context: RequestContext,
         allocation: Allocation,
     ): Result<Completion, Failure> {
-        var ended = false
+        var outcome: Result<Completion, Failure>? = null
         try {
-            val outcome = forward(context, allocation)
-            ended = outcome.mapBoth({ true }, { it.verdict == Verdict.NOT_RUN })
-            return outcome
+            return forward(context, allocation).also { outcome = it }
         } finally {
-            withContext(NonCancellable) { allocation.release(ended || cancel(context, allocation)) }
+            withContext(NonCancellable) { allocation.release(endOf(context, allocation, outcome)) }
         }
     }
 
+    /** Frees what the endpoint may still hold, also the finished stream that it would keep, and says how it ended. */
+    private suspend fun endOf(
+        context: RequestContext,
+        allocation: Allocation,
+        outcome: Result<Completion, Failure>?,
+    ): LeaseEnd {
+        val failure = outcome?.getError()
+        val isPlainAnswer = outcome?.isOk == true && context.requireTarget().pool.kind == PoolKind.PLAIN
+        val isFreed = failure?.verdict == Verdict.NOT_RUN || isPlainAnswer || cancel(context, allocation)
+        return when {
+            failure?.code == FailureCode.ENDPOINT_FAILED -> LeaseEnd.FAILED
+            !isFreed -> LeaseEnd.UNCONFIRMED
+            outcome?.isOk == true -> LeaseEnd.COMPLETED
+            else -> LeaseEnd.FREED
+        }
+    }
+
+    /** Plain services have no cancel; the owner waits until their load report does not list the request. */
     private suspend fun cancel(context: RequestContext, allocation: Allocation): Boolean =
-        context.requireTarget().pool.kind == PoolKind.PLAIN || client.cancel(allocation.endpoint, allocation.leaseId)
+        context.requireTarget().pool.kind == PoolKind.MODEL && client.cancel(allocation.endpoint, allocation.leaseId)
 
     private suspend fun forward(context: RequestContext, allocation: Allocation): Result<Completion, Failure> {
         if (!allocation.isValid()) {
--- a/entry/src/main/kotlin/pistachiopass/entry/placement/CapacityAllocator.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/placement/CapacityAllocator.kt
@@ -2,6 +2,7 @@
 package pistachiopass.entry.placement
 
 import com.github.michaelbull.result.Result
+import pistachiopass.capacity.LeaseEnd
 import pistachiopass.entry.http.Target
 import pistachiopass.model.Endpoint
 import pistachiopass.model.Failure
@@ -30,4 +31,7 @@
 
     /** Gives the room back; [ended] tells whether the endpoint is known to hold nothing for the request any more. */
     public suspend fun release(ended: Boolean)
+
+    /** Gives the room back and tells more of how the request ended. */
+    public suspend fun release(end: LeaseEnd): Unit = release(end.holdsNothing)
 }
--- /dev/null
+++ b/entry/src/main/kotlin/pistachiopass/entry/placement/CapacityDuties.kt
@@ -0,0 +1,44 @@
+/** What the published tables ask of one instance with regard to endpoint capacity. */
+package pistachiopass.entry.placement
+
+import pistachiopass.capacity.EndpointDuty
+import pistachiopass.capacity.ownerOrNull
+import pistachiopass.capacity.sharesOf
+import pistachiopass.model.Endpoint
+import pistachiopass.model.EndpointId
+import pistachiopass.model.EndpointState
+import pistachiopass.model.Instance
+import pistachiopass.model.InstanceId
+import pistachiopass.model.PoolKind
+import pistachiopass.tables.TablesState
+
+/** Holds the endpoints, the instances and the duties of [self] that follow from one state of the tables. */
+internal class CapacityDuties(state: TablesState, private val self: InstanceId) {
+    val endpoints: List<Endpoint> = state.pools?.value?.pools.orEmpty().flatMap { it.endpoints }.distinctBy { it.id }
+    val instances: List<Instance> = state.instances?.value?.instances.orEmpty()
+    val owners: Map<EndpointId, InstanceId> =
+        endpoints.mapNotNull { endpoint -> instances.ownerOrNull(endpoint)?.let { endpoint.id to it } }.toMap()
+
+    /** The endpoints that know no cancel. */
+    val plain: Set<EndpointId> = state.pools?.value?.pools.orEmpty()
+        .filter { it.kind == PoolKind.PLAIN }
+        .flatMapTo(HashSet()) { pool -> pool.endpoints.map { it.id } }
+
+    /** The accounts that this instance keeps: of the endpoints of which it holds a share. */
+    val accounts: List<EndpointDuty> = endpoints.mapNotNull { dutyOrNull(it, state) }
+
+    /** The published owner of each endpoint of which this instance holds a share. */
+    val wanted: Map<EndpointId, InstanceId> =
+        accounts.associate { it.endpoint.id to owners.getValue(it.endpoint.id) }
+
+    private fun dutyOrNull(endpoint: Endpoint, state: TablesState): EndpointDuty? {
+        val shares = instances.sharesOf(endpoint)
+        val isOut = endpoint.dataCentre in state.pools?.value?.dataCentresOut.orEmpty()
+        return EndpointDuty(
+            endpoint = endpoint,
+            shares = shares,
+            isOpen = endpoint.state == EndpointState.ACTIVE && !isOut,
+            isOwned = owners[endpoint.id] == self,
+        ).takeIf { self in shares }
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/pistachiopass/entry/placement/PledgedAllocator.kt
@@ -0,0 +1,178 @@
+/** Allocation by leases: the owner of an endpoint grants room out of the shares that are pledged to it. */
+package pistachiopass.entry.placement
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.get
+import com.github.michaelbull.result.getError
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import pistachiopass.capacity.Capacity
+import pistachiopass.capacity.HeldLease
+import pistachiopass.capacity.LeaseEnd
+import pistachiopass.capacity.LeaseRefusal
+import pistachiopass.capacity.LeaseRequest
+import pistachiopass.entry.http.Target
+import pistachiopass.entry.logging.Event
+import pistachiopass.entry.logging.EventLog
+import pistachiopass.entry.logging.field
+import pistachiopass.entry.logging.log
+import pistachiopass.model.DataCentreId
+import pistachiopass.model.Endpoint
+import pistachiopass.model.EndpointId
+import pistachiopass.model.Failure
+import pistachiopass.model.InstanceId
+import pistachiopass.model.Pool
+import pistachiopass.model.PoolKind
+import pistachiopass.model.RequestId
+import pistachiopass.routing.CandidateReason
+import pistachiopass.routing.Choice
+import pistachiopass.routing.EndpointChooser
+import pistachiopass.routing.EndpointLoad
+import pistachiopass.routing.FleetView
+import pistachiopass.routing.RequestFacts
+import java.util.concurrent.atomic.AtomicBoolean
+
+/** Allocates by asking the owners of a few candidates, of the own data centre first. */
+public class PledgedAllocator(
+    private val dataCentre: DataCentreId,
+    private val chooser: EndpointChooser,
+    private val capacity: CapacityController,
+    private val dataCentresOut: () -> Set<DataCentreId>,
+    private val scope: CoroutineScope,
+    private val log: EventLog = EventLog,
+) : CapacityAllocator {
+    override suspend fun allocate(
+        requestId: RequestId,
+        facts: RequestFacts,
+        target: Target,
+    ): Result<Allocation, Failure> {
+        val search = Search(requestId, facts, target)
+        val lease = search.atOnce() ?: search.afterWait()
+        return lease?.let { Ok(LeasedAllocation(it.first, it.second)) } ?: Err(search.refusal())
+    }
+
+    /** The search for one request; each owner that refuses is asked no more until the wait at the end. */
+    private inner class Search(
+        private val requestId: RequestId,
+        private val facts: RequestFacts,
+        private val target: Target,
+    ) {
+        private val refused: HashSet<EndpointId> = HashSet()
+        private var lastRefusal: LeaseRefusal? = null
+        private val first: Choice = choose(target.pool.endpoints)
+
+        suspend fun atOnce(): Pair<Endpoint, HeldLease>? {
+            val (near, far) = target.pool.endpoints.partition { it.dataCentre == dataCentre }
+            return tryEach(near, NEAR_ATTEMPTS) ?: tryEach(far, FAR_ATTEMPTS)
+        }
+
+        /**
+         * Waits with the owner of the first endpoint that could ever hold the request, and with the next owner when
+         * that one stops to answer for the endpoint.
+         */
+        suspend fun afterWait(): Pair<Endpoint, HeldLease>? {
+            while (remainingMillis() > SEND_RESERVE_MILLIS) {
+                val endpoint = waitingEndpointOrNull() ?: return null
+                ask(endpoint, remainingMillis() - SEND_RESERVE_MILLIS)?.let { return it }
+                if (lastRefusal == LeaseRefusal.QUEUE) return null
+                delay(ASK_PAUSE_MILLIS)
+            }
+            return null
+        }
+
+        private fun waitingEndpointOrNull(): Endpoint? {
+            refused.clear()
+            val candidate = choose(target.pool.endpoints).candidates.firstOrNull { it.reason in WORTH_A_WAIT }
+            return target.pool.endpoints.firstOrNull { it.id == candidate?.endpoint }
+        }
+
+        fun refusal(): Failure {
+            log.log(Event.PLACEMENT_REFUSED, requestId, field("pool", target.pool.name), field("tokens", facts.tokens))
+            return placementFailure(first, facts, target.pool)
+        }
+
+        private suspend fun tryEach(endpoints: List<Endpoint>, attempts: Int): Pair<Endpoint, HeldLease>? {
+            repeat(attempts) {
+                val endpoint = choose(endpoints).endpoint ?: return null
+                ask(endpoint, waitMillis = 0)?.let { return it }
+                refused += endpoint.id
+            }
+            return null
+        }
+
+        private suspend fun ask(endpoint: Endpoint, waitMillis: Long): Pair<Endpoint, HeldLease>? {
+            val owner = capacity.grantorOrNull(endpoint.id) ?: return null
+            val request = LeaseRequest(
+                requestId = requestId,
+                endpoint = endpoint.id,
+                needed = Capacity(if (target.pool.kind == PoolKind.MODEL) facts.tokens else 0, slots = 1),
+                workspace = facts.workspace,
+                promptTokens = facts.promptTokens,
+                remainingMillis = remainingMillis(),
+                waitMillis = waitMillis,
+            )
+            val outcome = capacity.leases.ask(owner, request)
+            lastRefusal = outcome.getError()
+            return outcome.get()?.let { lease ->
+                logChoice(endpoint, owner)
+                endpoint to lease
+            }
+        }
+
+        private fun logChoice(endpoint: Endpoint, owner: InstanceId): Unit = log.log(
+            Event.ENDPOINT_CHOSEN,
+            requestId,
+            field("endpoint", endpoint.id),
+            field("pool", target.pool.name),
+            field("owner", owner),
+        )
+
+        private fun choose(endpoints: List<Endpoint>): Choice {
+            val pool: Pool = target.pool.copy(endpoints = endpoints)
+            val loads = endpoints.associate { it.id to loadOf(it) }
+            return chooser.choose(facts, pool, FleetView(dataCentre, dataCentresOut(), loads))
+        }
+
+        private fun loadOf(endpoint: Endpoint): EndpointLoad {
+            val summary = capacity.summaryOrNull(endpoint.id)
+            return EndpointLoad(
+                cold = summary?.cold ?: (endpoint.dataCentre == dataCentre),
+                reachable = summary?.silent != true && endpoint.id !in refused,
+                heldTokens = summary?.held?.tokens ?: 0,
+                heldSlots = summary?.held?.slots ?: 0,
+            )
+        }
+
+        private fun remainingMillis(): Long = -target.deadline.elapsedNow().inWholeMilliseconds
+    }
+
+    private inner class LeasedAllocation(override val endpoint: Endpoint, private val lease: HeldLease) : Allocation {
+        private val released: AtomicBoolean = AtomicBoolean()
+
+        override val leaseId: RequestId get() = lease.id
+
+        override fun isValid(): Boolean = lease.maySend()
+
+        override suspend fun release(ended: Boolean): Unit =
+            release(if (ended) LeaseEnd.COMPLETED else LeaseEnd.UNCONFIRMED)
+
+        override suspend fun release(end: LeaseEnd) {
+            if (released.compareAndSet(false, true)) capacity.leases.release(scope, lease, end)
+        }
+    }
+}
+
+/** Reasons that pass with time. */
+private val WORTH_A_WAIT: Set<CandidateReason> =
+    setOf(CandidateReason.CHOSEN, CandidateReason.ELIGIBLE, CandidateReason.FULL, CandidateReason.COLD_FULL)
+
+private const val NEAR_ATTEMPTS: Int = 2
+private const val FAR_ATTEMPTS: Int = 1
+
+/** Pause before an endpoint's owner is asked again after it gave no answer. */
+private const val ASK_PAUSE_MILLIS: Long = 200
+
+/** Part of the time of a request that is kept for the sending itself. */
+private const val SEND_RESERVE_MILLIS: Long = 500
--- a/entry/src/main/kotlin/pistachiopass/entry/settings/FieldRules.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/settings/FieldRules.kt
@@ -1,6 +1,7 @@
 /** Rules that the values of single settings keep. */
 package pistachiopass.entry.settings
 
+import kotlinx.serialization.json.JsonArray
 import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.JsonObjectBuilder
 import kotlinx.serialization.json.JsonPrimitive
@@ -47,6 +48,19 @@
     override fun accepts(value: JsonPrimitive): Boolean = value.isString && value.content matches pattern
 }
 
+/** Accepts one of [choices]. */
+internal class ChoiceRule(private val choices: List<String>) : FieldRule {
+    override val expected: String = "one of ${choices.joinToString()}"
+
+    override val schema: JsonObject =
+        buildJsonObject {
+            put("type", "string")
+            put("enum", JsonArray(choices.map(::JsonPrimitive)))
+        }
+
+    override fun accepts(value: JsonPrimitive): Boolean = value.isString && value.content in choices
+}
+
 /** Accepts host and port; the port is at least [portMin], and 0 lets the system choose one. */
 internal class AddressRule(private val portMin: Int) : FieldRule {
     private val pattern = Regex("(?:[A-Za-z0-9._-]+|\\[[0-9A-Fa-f:.]+\\]):([0-9]{1,5})")
--- a/entry/src/main/kotlin/pistachiopass/entry/settings/Settings.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/settings/Settings.kt
@@ -1,6 +1,7 @@
 /** Settings of the daemon, read from one JSON file at start; [settingsFields] holds the rules that the values keep. */
 package pistachiopass.entry.settings
 
+import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import pistachiopass.entry.logging.HIDDEN
 import pistachiopass.model.DataCentreId
@@ -23,6 +24,8 @@
     val platformAddress: String,
     /** Key shared by all instances, in base64, at least 32 bytes; authenticates peers and signs keys and event ids. */
     val sharedKey: String,
+    /** How requests get their place on endpoints. */
+    val placement: Placement = Placement.PLEDGED,
     /** Bounds on what the instance holds for callers. */
     val limits: LimitSettings = LimitSettings(),
     /** Keys for TLS; without them all connections are plain. */
@@ -31,7 +34,24 @@
     /** Returns the settings without the shared key. */
     override fun toString(): String =
         "Settings(instance=$instance, dataCentre=$dataCentre, httpAddress=$httpAddress, peerAddress=$peerAddress, " +
-            "adminAddress=$adminAddress, platformAddress=$platformAddress, sharedKey=$HIDDEN, limits=$limits, tls=$tls)"
+            "adminAddress=$adminAddress, platformAddress=$platformAddress, sharedKey=$HIDDEN, placement=$placement, " +
+            "limits=$limits, tls=$tls)"
+}
+
+/** Tells how instances share the capacity of endpoints; all instances of a fleet use the same. */
+@Serializable
+public enum class Placement(public val text: String) {
+    /** By leases of an owner, to whom the others pledge their shares. */
+    @SerialName("pledged")
+    PLEDGED("pledged"),
+
+    /** By load reports and own requests alone; instances together may overrun an endpoint. */
+    @SerialName("blind")
+    BLIND("blind"),
+
+    /** Each instance uses its own share only. */
+    @SerialName("fixed-share")
+    FIXED_SHARE("fixed-share"),
 }
 
 /** Bounds on what the instance holds for callers. */
--- a/entry/src/main/kotlin/pistachiopass/entry/settings/SettingsCatalogue.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/settings/SettingsCatalogue.kt
@@ -59,6 +59,11 @@
             "Key shared by all instances; authenticates peers and signs keys and event ids.",
             secret = true,
         ),
+        SettingsField(
+            "placement",
+            ChoiceRule(Placement.entries.map { it.text }),
+            "How instances share endpoints; all but the first are baselines for measurements.",
+        ),
         SettingsField("limits.bodyBytes", BODY_RANGE, "Longest request body that is read."),
         SettingsField("limits.heldBytes", HELD_RANGE, "Memory for request bodies and stream buffers together."),
         SettingsField("limits.streamBufferBytes", STREAM_BUFFER_RANGE, "Buffer of one stream."),
@@ -89,7 +94,8 @@
     )
 
 /** Returns the default of the field at [path], or null if it has to be given. */
-internal fun defaultOrNull(path: String): JsonElement? = limitDefaults[path.removePrefix("limits.")]
+internal fun defaultOrNull(path: String): JsonElement? =
+    if (path == "placement") JsonPrimitive(Placement.PLEDGED.text) else limitDefaults[path.removePrefix("limits.")]
 
 private fun isAtLeast(value: JsonPrimitive, other: JsonPrimitive): Boolean = value.long >= other.long
 
