--- a/coordination/src/main/kotlin/pistachiopass/capacity/LeaseTable.kt
+++ b/coordination/src/main/kotlin/pistachiopass/capacity/LeaseTable.kt
@@ -31,8 +31,7 @@
 ) {
     private val accounts: HashMap<EndpointId, EndpointAccount> = HashMap()
     private val lives: HolderLives = HolderLives()
-    private val life: String = self.startId.value.takeLast(LIFE_DIGITS)
-    private var sequence: Long = 0
+    private val issuer: LeaseIssuer = LeaseIssuer(self, times)
 
     /** Puts [duties] in place of all earlier ones; accounts of endpoints that are not in it are dropped. */
     @Synchronized
@@ -79,7 +78,13 @@
         return when (outcome) {
             is DrawOutcome.Refused -> LeaseReply(refusal = outcome.reason)
                 .also { listener.onRefused(request, outcome.reason, holder.instance) }
-            is DrawOutcome.Drawn -> LeaseReply(grant(holder, request, outcome, now))
+            is DrawOutcome.Drawn -> {
+                val lease = issuer.issue(holder, request, outcome, now)
+                accounts.getValue(request.endpoint).leases[lease.id] = lease
+                val grant = LeaseGrant(lease.id, OwnerTime(self.startId, now), lease.sendUntilMillis)
+                listener.onGranted(request, grant, holder.instance)
+                LeaseReply(grant)
+            }
         }
     }
 
@@ -133,19 +138,8 @@
         return (account.tryDraw(needed, clock.nowMillis()) as? DrawOutcome.Refused)?.reason
     }
 
-    private fun grant(
-        holder: InstanceLife,
-        request: LeaseRequest,
-        drawn: DrawOutcome.Drawn,
-        nowMillis: Long,
-    ): LeaseGrant {
-        val facts = LeaseFacts(self.instance, life, sequence++, request.remainingMillis, drawn.draws)
-        val sendUntilMillis = minOf(drawn.expiresAtMillis, nowMillis + times.sendMillis)
-        val lease = Lease(facts.toLeaseId(), holder, facts, nowMillis, sendUntilMillis)
-        accounts.getValue(request.endpoint).leases[lease.id] = lease
-        return LeaseGrant(lease.id, OwnerTime(self.startId, nowMillis), sendUntilMillis)
-            .also { listener.onGranted(request, it, holder.instance) }
-    }
+    /** Returns what the endpoint may hold at present, cold or warm, or nothing when there is no account of it. */
+    @Synchronized
+    public fun limitOf(endpoint: EndpointId): Capacity =
+        accounts[endpoint]?.let { it.duty.endpoint.budget.at(it.warmth) } ?: Capacity.NONE
 }
-
-private const val LIFE_DIGITS: Int = 12
--- a/entry/src/main/kotlin/pistachiopass/entry/Daemon.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/Daemon.kt
@@ -13,13 +13,18 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import pistachiopass.entry.body.BodyReader
 import pistachiopass.entry.body.heldMemoryOf
+import pistachiopass.entry.endpoint.EndpointBreaker
 import pistachiopass.entry.endpoint.LoadController
 import pistachiopass.entry.endpoint.endpointClientOf
 import pistachiopass.entry.filter.BodyFilter
 import pistachiopass.entry.filter.ForwardHandler
+import pistachiopass.entry.filter.ResumeFilter
+import pistachiopass.entry.filter.RetryFilter
 import pistachiopass.entry.filter.RouteFilter
 import pistachiopass.entry.filter.StopFilter
+import pistachiopass.entry.filter.retryBudgetOf
 import pistachiopass.entry.http.AdminSource
+import pistachiopass.entry.http.callerServerOf
 import pistachiopass.entry.http.endingIn
 import pistachiopass.entry.http.serveAdmin
 import pistachiopass.entry.http.serveCallers
@@ -29,6 +34,7 @@
 import pistachiopass.entry.logging.log
 import pistachiopass.entry.logging.tokenField
 import pistachiopass.entry.metrics.metricsOf
+import pistachiopass.entry.peer.peerNetworkOf
 import pistachiopass.entry.placement.BlindAllocator
 import pistachiopass.entry.placement.CapacityAllocator
 import pistachiopass.entry.placement.CapacityController
@@ -37,29 +43,35 @@
 import pistachiopass.entry.platform.platformClientOf
 import pistachiopass.entry.settings.Placement
 import pistachiopass.entry.settings.Settings
+import pistachiopass.entry.stream.AnswerRelay
+import pistachiopass.entry.stream.RelayLimits
 import pistachiopass.model.DataCentreId
 import pistachiopass.model.Endpoint
 import pistachiopass.peer.startIdOf
 import pistachiopass.routing.affinityChooser
 import pistachiopass.status.InstanceStatus
+import pistachiopass.stream.eventIdsOf
 import pistachiopass.tables.tablesInForceOf
-import java.security.SecureRandom
-import kotlin.random.asKotlinRandom
+import java.util.Base64
+import kotlin.random.Random
 import kotlin.time.TimeSource
 
 /** Runs one instance from [start] to [stop]. */
 public class Daemon(private val settings: Settings) {
     private val startedAt = TimeSource.Monotonic.markNow()
-    private val startId = startIdOf(System.currentTimeMillis(), SecureRandom().asKotlinRandom())
+    private val startId = startIdOf(System.currentTimeMillis(), Random.Default)
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     private val metrics = metricsOf()
     private val memory = heldMemoryOf(settings.limits.heldBytes)
     private val tables = tablesInForceOf()
+    private val network = peerNetworkOf(settings, startId, metrics) { tables.state.value.instances?.value }
     private val platform = platformClientOf(settings.platformAddress, settings.instance)
     private val client = endpointClientOf(settings.limits.readIdleMillis)
-    private val peers = peerTransportOf(settings, startId, tables.state, metrics)
-    private val capacity = CapacityController(peers, client, tables.state, settings.placement, metrics)
+    private val breaker = EndpointBreaker()
+    private val capacity = CapacityController(network.transport, client, tables.state, settings.placement, metrics)
     private val loads = LoadController(client, ::endpointsToPoll, listener = capacity::onReport)
+    private val limits = settings.limits
+    private val eventIds = eventIdsOf(Base64.getDecoder().decode(settings.sharedKey))
     private val stopFilter = StopFilter()
     private val servers = listOf(callerServer(), adminServer())
 
@@ -69,9 +81,9 @@
     /** Starts the servers and controllers and returns once the instance is ready. */
     public suspend fun start() {
         log(Event.START)
-        TablesController(platform, tables, ::uptimeMillis).start(scope)
-        peers.listenAt(settings.peerAddress, tables.state, scope)
         if (settings.placement != Placement.BLIND) capacity.start(scope)
+        network.start(scope)
+        TablesController(platform, tables, ::uptimeMillis).start(scope)
         loads.start(scope)
         servers.forEach { it.startSuspend(wait = false) }
         tables.state.first { it.routes != null && it.pools != null }
@@ -87,7 +99,7 @@
         if (!drained) EventLog.log(Event.STOP_TIMED_OUT, field("running", stopFilter.runningRequests))
         servers.forEach { it.stopSuspend(SERVER_GRACE_MILLIS, SERVER_GRACE_MILLIS) }
         scope.cancel()
-        peers.close()
+        network.close()
         client.close()
         platform.close()
         log(Event.STOP_DONE)
@@ -98,14 +110,16 @@
     }
 
     private fun callerServer(): EmbeddedServer<*, *> {
+        val relay = AnswerRelay(client, eventIds, RelayLimits(limits.readIdleMillis, limits.stallMillis))
         val filters = listOf(
             stopFilter,
-            BodyFilter(BodyReader(settings.limits.bodyBytes, memory)),
+            ResumeFilter(tables.state::value, eventIds, relay, client),
+            BodyFilter(BodyReader(limits.bodyBytes, memory)),
             RouteFilter(tables.state::value),
+            RetryFilter(retryBudgetOf(), metrics),
         )
-        val handler = filters.endingIn(ForwardHandler(allocator(), client))
-        val address = HostPort(settings.httpAddress)
-        return embeddedServer(CIO, host = address.host, port = address.port) { serveCallers(handler) }
+        val handler = filters.endingIn(ForwardHandler(allocator(), client, relay, breaker))
+        return callerServerOf(settings) { serveCallers(handler, limits.streamBufferBytes) }
     }
 
     private fun adminServer(): EmbeddedServer<*, *> {
@@ -114,8 +128,8 @@
     }
 
     private fun allocator(): CapacityAllocator = when (settings.placement) {
-        Placement.BLIND -> BlindAllocator(settings.dataCentre, affinityChooser(), loads, ::dataCentresOut)
-        else -> PledgedAllocator(settings.dataCentre, affinityChooser(), capacity, ::dataCentresOut, scope)
+        Placement.BLIND -> BlindAllocator(settings.dataCentre, affinityChooser(), loads, ::dataCentresOut, breaker)
+        else -> PledgedAllocator(affinityChooser(), capacity, ::dataCentresOut, breaker, scope)
     }
 
     private fun endpointsToPoll(): List<Endpoint> = when (settings.placement) {
@@ -148,6 +162,7 @@
             ready = isReady(),
             uptimeMillis = uptimeMillis(),
             tables = tables.statusAt(uptimeMillis()),
+            peers = network.statuses(),
             endpoints = capacity.endpointStatus(),
             leases = capacity.leaseStatus(),
             heldBytes = memory.heldBytes,
@@ -155,11 +170,5 @@
     }
 }
 
-/** Splits `host:port`. */
-internal class HostPort(address: String) {
-    val host: String = address.substringBeforeLast(':')
-    val port: Int = address.substringAfterLast(':').toInt()
-}
-
 private const val SERVER_GRACE_MILLIS: Long = 500
 private const val IDLE_POLL_MILLIS: Long = 50
--- a/entry/src/main/kotlin/pistachiopass/entry/filter/ForwardHandler.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/filter/ForwardHandler.kt
@@ -5,6 +5,9 @@
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.andThen
 import com.github.michaelbull.result.getError
+import com.github.michaelbull.result.onFailure
+import com.github.michaelbull.result.onSuccess
+import io.ktor.client.plugins.timeout
 import io.ktor.client.request.HttpRequestBuilder
 import io.ktor.client.request.header
 import io.ktor.client.request.setBody
@@ -14,6 +17,7 @@
 import kotlinx.coroutines.NonCancellable
 import kotlinx.coroutines.withContext
 import pistachiopass.capacity.LeaseEnd
+import pistachiopass.entry.endpoint.EndpointBreaker
 import pistachiopass.entry.endpoint.EndpointClient
 import pistachiopass.entry.http.Completion
 import pistachiopass.entry.http.Handler
@@ -25,17 +29,23 @@
 import pistachiopass.entry.placement.Allocation
 import pistachiopass.entry.placement.CapacityAllocator
 import pistachiopass.entry.stream.AnswerRelay
+import pistachiopass.entry.stream.AnswerSource
 import pistachiopass.model.Failure
 import pistachiopass.model.FailureCode
+import pistachiopass.model.PRIORITY_HEADER
 import pistachiopass.model.PoolKind
 import pistachiopass.model.REMAINING_MILLIS_HEADER
 import pistachiopass.model.REQUEST_ID_HEADER
 import pistachiopass.model.Verdict
+import pistachiopass.routing.promptClassOf
+import kotlin.time.Duration.Companion.milliseconds
 
-/** Allocates room with [allocator] and sends through [client]. */
+/** Allocates room with [allocator] and sends through [client]; [breaker] learns which endpoints answer. */
 public class ForwardHandler(
     private val allocator: CapacityAllocator,
     private val client: EndpointClient,
+    private val relay: AnswerRelay,
+    private val breaker: EndpointBreaker = EndpointBreaker(),
 ) : Handler {
     override suspend fun handle(context: RequestContext): Result<Completion, Failure> =
         allocator.allocate(context.exchange.requestId, context.requireFacts(), context.requireTarget())
@@ -47,7 +57,10 @@
     ): Result<Completion, Failure> {
         var outcome: Result<Completion, Failure>? = null
         try {
-            return forward(context, allocation).also { outcome = it }
+            return forward(context, allocation)
+                .onSuccess { breaker.answered(allocation.endpoint.id) }
+                .onFailure { failure -> failure.endpoint?.let(breaker::failed) }
+                .also { outcome = it }
         } finally {
             withContext(NonCancellable) { allocation.release(endOf(context, allocation, outcome)) }
         }
@@ -78,25 +91,41 @@
         if (!allocation.isValid()) {
             return Err(notRun(FailureCode.OVERLOADED, "the lease ran out before the request was sent", RETRY_MILLIS))
         }
-        val relay = AnswerRelay(context.exchange, allocation.endpoint.id, context.requireTarget().deadline)
+        val source = context.answerSource(allocation)
         return client.exchange(
             endpoint = allocation.endpoint,
             uri = context.exchange.head.uri,
             build = { copyFrom(context, allocation) },
-            receive = relay::relay,
+            receive = { response -> relay.relay(source, response) },
         )
     }
 
+    private fun RequestContext.answerSource(allocation: Allocation): AnswerSource {
+        val target = requireTarget()
+        val deadline = target.deadline - ERROR_EVENT_MILLIS.milliseconds
+        return AnswerSource(exchange, allocation.endpoint, allocation.leaseId, target.route.name, deadline)
+    }
+
     private fun HttpRequestBuilder.copyFrom(context: RequestContext, allocation: Allocation) {
         val head = context.exchange.head
         method = head.method
         head.headers[HttpHeaders.ContentType]?.let { contentType(ContentType.parse(it)) }
         FORWARDED_HEADERS.forEach { name -> head.headers[name]?.let { header(name, it) } }
         header(REQUEST_ID_HEADER, allocation.leaseId.value)
-        header(REMAINING_MILLIS_HEADER, -context.requireTarget().deadline.elapsedNow().inWholeMilliseconds)
+        val remainingMillis = -context.requireTarget().deadline.elapsedNow().inWholeMilliseconds
+        header(REMAINING_MILLIS_HEADER, remainingMillis)
+        if (context.requireTarget().pool.kind == PoolKind.MODEL) header(PRIORITY_HEADER, context.priority())
+        if (!context.requireFacts().streamed) {
+            timeout { socketTimeoutMillis = remainingMillis.coerceAtLeast(1) }
+        }
         setBody(context.requireBody().bytes)
     }
 }
 
+private fun RequestContext.priority(): Int = promptClassOf(requireFacts().promptTokens).priority
+
 private val FORWARDED_HEADERS: List<String> = listOf(HttpHeaders.Accept, IDEMPOTENCY_KEY_HEADER)
+
+/** Time before the deadline that is left for telling the caller of it. */
+private const val ERROR_EVENT_MILLIS: Long = 200
 private const val RETRY_MILLIS: Long = 1_000
--- a/entry/src/main/kotlin/pistachiopass/entry/placement/CapacityController.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/placement/CapacityController.kt
@@ -35,6 +35,7 @@
 import pistachiopass.entry.logging.tokenField
 import pistachiopass.entry.metrics.Metrics
 import pistachiopass.entry.settings.Placement
+import pistachiopass.model.DataCentreId
 import pistachiopass.model.Endpoint
 import pistachiopass.model.EndpointId
 import pistachiopass.model.InstanceId
@@ -42,7 +43,10 @@
 import pistachiopass.peer.PeerTransport
 import pistachiopass.peer.call
 import pistachiopass.peer.register
-import pistachiopass.queue.firstInFirstOutQueue
+import pistachiopass.queue.AdmissionQueue
+import pistachiopass.queue.QueueBudget
+import pistachiopass.queue.admissionQueueOf
+import pistachiopass.queue.firstTokenPredictorOf
 import pistachiopass.status.EndpointStatus
 import pistachiopass.status.LeaseStatus
 import pistachiopass.tables.TablesState
@@ -69,9 +73,12 @@
     @Volatile
     private var duties: CapacityDuties = CapacityDuties(tables.value, self.instance)
 
+    /** The data centre of this instance. */
+    public val dataCentre: DataCentreId = self.dataCentre
+
     internal val table = leaseTableOf(life, times, clock, CapacityEvents(metrics, log))
-    internal val desk: OwnerDesk = OwnerDesk(table, clock) { firstInFirstOutQueue() }
-    internal val leases: LeaseClient = LeaseClient(transport, table, desk, held, clock)
+    internal val desk: OwnerDesk = OwnerDesk(table, clock, ::queueOf)
+    internal val leases: LeaseClient = LeaseClient(transport, desk, held, clock)
 
     /** Registers the handlers and starts the loops; they end with the scope. */
     public fun start(scope: CoroutineScope) {
@@ -105,6 +112,12 @@
     /** Returns what the owner last said of the load of [endpoint], or null. */
     internal fun summaryOrNull(endpoint: EndpointId): EndpointSummary? = summaries[endpoint]
 
+    private fun queueOf(endpoint: EndpointId): AdmissionQueue = admissionQueueOf(
+        nowMillis = clock::nowMillis,
+        budget = { table.limitOf(endpoint).let { QueueBudget(it.tokens, it.slots) } },
+        forecast = firstTokenPredictorOf(),
+    )
+
     private fun onTables(state: TablesState) {
         val next = CapacityDuties(state, self.instance)
         duties = next
@@ -119,8 +132,7 @@
         transport.register(HEARTBEAT, HEARTBEAT_ANSWER) { sender, heartbeat -> onHeartbeat(sender, heartbeat) }
         transport.register(LEASE_REQUEST, LEASE_REPLY) { sender, request -> desk.request(sender.life(), request) }
         transport.register(LEASE_RELEASE, LEASE_RELEASED) { _, release ->
-            table.release(release)
-            desk.drain()
+            desk.release(release)
             LeaseReleased(release.lease)
         }
     }
--- a/entry/src/main/kotlin/pistachiopass/entry/placement/LeaseClient.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/placement/LeaseClient.kt
@@ -20,7 +20,6 @@
 import pistachiopass.capacity.LeaseRelease
 import pistachiopass.capacity.LeaseReply
 import pistachiopass.capacity.LeaseRequest
-import pistachiopass.capacity.LeaseTable
 import pistachiopass.capacity.LocalClock
 import pistachiopass.model.InstanceId
 import pistachiopass.peer.PeerTransport
@@ -29,7 +28,6 @@
 /** Speaks to owners over [transport], and to the own table directly. */
 internal class LeaseClient(
     private val transport: PeerTransport,
-    private val table: LeaseTable,
     private val desk: OwnerDesk,
     private val held: HeldLeases,
     private val clock: LocalClock,
@@ -49,8 +47,7 @@
         held.remove(lease)
         val release = LeaseRelease(lease.endpoint, lease.id, end)
         if (lease.owner == self.instance) {
-            table.release(release)
-            desk.drain()
+            desk.release(release)
         } else {
             scope.launch { sendRelease(lease.owner, release) }
         }
--- a/entry/src/main/kotlin/pistachiopass/entry/placement/OwnerDesk.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/placement/OwnerDesk.kt
@@ -7,6 +7,7 @@
 import pistachiopass.capacity.Capacity
 import pistachiopass.capacity.InstanceLife
 import pistachiopass.capacity.LeaseRefusal
+import pistachiopass.capacity.LeaseRelease
 import pistachiopass.capacity.LeaseReply
 import pistachiopass.capacity.LeaseRequest
 import pistachiopass.capacity.LeaseTable
@@ -38,6 +39,13 @@
         return reply ?: line.giveUp(entry)
     }
 
+    /** Takes a lease back and grants what fits then. */
+    public fun release(release: LeaseRelease) {
+        table.release(release)
+        lines[release.endpoint]?.ended(release.lease)
+        drain()
+    }
+
     /** Grants what fits now; called whenever room may have become free. */
     public fun drain(): Unit = lines.values.forEach { it.drain() }
 
@@ -50,13 +58,15 @@
                 promptTokens = request.promptTokens.coerceAtMost(request.needed.tokens),
                 tokens = request.needed.tokens,
                 sinceMillis = now,
-                untilMillis = now + request.waitMillis,
+                untilMillis = now + request.waitMillis.coerceAtLeast(SHORTEST_WAIT_MILLIS),
+                firstTokenByMillis = now + request.remainingMillis,
             )
         }
     }
 
     private inner class Line(private val endpoint: EndpointId, private val queue: AdmissionQueue) {
         private val entries: HashMap<RequestId, Entry> = HashMap()
+        private val taken: LinkedHashMap<RequestId, RequestId> = LinkedHashMap()
 
         @Synchronized
         fun add(entry: Entry) {
@@ -74,7 +84,7 @@
             while (true) {
                 val next = queue.takeNext(::fits) ?: break
                 val entry = entries.remove(next.id) ?: continue
-                entry.reply.complete(table.request(entry.holder, entry.request))
+                grant(entry)
             }
             val refusal = table.refusalOrNull(endpoint, Capacity.NONE)
             if (refusal in FINAL_REFUSALS) entries.values.toList().forEach { refuse(it, refusal) }
@@ -87,6 +97,18 @@
             return entry.reply.getCompleted()
         }
 
+        @Synchronized
+        fun ended(lease: RequestId) {
+            taken.remove(lease)?.let(queue::ended)
+        }
+
+        private fun grant(entry: Entry) {
+            val reply = table.request(entry.holder, entry.request)
+            reply.grant?.let { taken[it.lease] = entry.waiting.id }
+            if (taken.size > TAKEN_LIMIT) ended(taken.keys.first())
+            entry.reply.complete(reply)
+        }
+
         private fun refuse(entry: Entry, reason: LeaseRefusal?) {
             queue.remove(entry.waiting.id)
             entries.remove(entry.waiting.id)
@@ -103,3 +125,9 @@
 /** Refusals that waiting does not change. */
 private val FINAL_REFUSALS: Set<LeaseRefusal> =
     setOf(LeaseRefusal.NOT_OWNER, LeaseRefusal.CLOSED, LeaseRefusal.TOO_LARGE)
+
+/** Time in the queue of a request that wants an answer at once; it leaves the queue before. */
+private const val SHORTEST_WAIT_MILLIS: Long = 1_000
+
+/** Granted requests of an endpoint whose end the queue is told of. */
+private const val TAKEN_LIMIT: Int = 4_096
--- a/entry/src/main/kotlin/pistachiopass/entry/placement/PledgedAllocator.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/placement/PledgedAllocator.kt
@@ -13,6 +13,7 @@
 import pistachiopass.capacity.LeaseEnd
 import pistachiopass.capacity.LeaseRefusal
 import pistachiopass.capacity.LeaseRequest
+import pistachiopass.entry.endpoint.EndpointBreaker
 import pistachiopass.entry.http.Target
 import pistachiopass.entry.logging.Event
 import pistachiopass.entry.logging.EventLog
@@ -36,13 +37,15 @@
 
 /** Allocates by asking the owners of a few candidates, of the own data centre first. */
 public class PledgedAllocator(
-    private val dataCentre: DataCentreId,
     private val chooser: EndpointChooser,
     private val capacity: CapacityController,
     private val dataCentresOut: () -> Set<DataCentreId>,
+    private val breaker: EndpointBreaker,
     private val scope: CoroutineScope,
     private val log: EventLog = EventLog,
 ) : CapacityAllocator {
+    private val dataCentre: DataCentreId = capacity.dataCentre
+
     override suspend fun allocate(
         requestId: RequestId,
         facts: RequestFacts,
@@ -139,7 +142,7 @@
             val summary = capacity.summaryOrNull(endpoint.id)
             return EndpointLoad(
                 cold = summary?.cold ?: (endpoint.dataCentre == dataCentre),
-                reachable = summary?.silent != true && endpoint.id !in refused,
+                reachable = summary?.silent != true && endpoint.id !in refused && !breaker.isOpen(endpoint.id),
                 heldTokens = summary?.held?.tokens ?: 0,
                 heldSlots = summary?.held?.slots ?: 0,
             )
--- a/entry/src/main/kotlin/pistachiopass/entry/settings/Settings.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/settings/Settings.kt
@@ -24,6 +24,8 @@
     val platformAddress: String,
     /** Key shared by all instances, in base64, at least 32 bytes; authenticates peers and signs keys and event ids. */
     val sharedKey: String,
+    /** Peers that the instance asks before it knows the published list, each as `instance@host:port`. */
+    val peers: List<String> = emptyList(),
     /** How requests get their place on endpoints. */
     val placement: Placement = Placement.PLEDGED,
     /** Bounds on what the instance holds for callers. */
@@ -34,8 +36,8 @@
     /** Returns the settings without the shared key. */
     override fun toString(): String =
         "Settings(instance=$instance, dataCentre=$dataCentre, httpAddress=$httpAddress, peerAddress=$peerAddress, " +
-            "adminAddress=$adminAddress, platformAddress=$platformAddress, sharedKey=$HIDDEN, placement=$placement, " +
-            "limits=$limits, tls=$tls)"
+            "adminAddress=$adminAddress, platformAddress=$platformAddress, sharedKey=$HIDDEN, peers=$peers, " +
+            "placement=$placement, limits=$limits, tls=$tls)"
 }
 
 /** Tells how instances share the capacity of endpoints; all instances of a fleet use the same. */
