--- a/entry/src/main/kotlin/pistachiopass/entry/Daemon.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/Daemon.kt
@@ -35,8 +35,12 @@
 import pistachiopass.entry.metrics.metricsOf
 import pistachiopass.entry.peer.peerNetworkOf
 import pistachiopass.entry.placement.BlindAllocator
+import pistachiopass.entry.placement.CapacityAllocator
+import pistachiopass.entry.placement.CapacityController
+import pistachiopass.entry.placement.PledgedAllocator
 import pistachiopass.entry.platform.platformClientOf
 import pistachiopass.entry.platform.tablesControllerOf
+import pistachiopass.entry.settings.Placement
 import pistachiopass.entry.settings.Settings
 import pistachiopass.entry.stream.AnswerRelay
 import pistachiopass.entry.stream.RelayLimits
@@ -63,8 +67,9 @@
     private val platform = platformClientOf(settings.platformAddress, settings.instance)
     private val controller = tablesControllerOf(platform, network, tables, metrics)
     private val client = endpointClientOf(settings.limits.readIdleMillis)
-    private val loads = LoadController(client, ::endpoints)
     private val breaker = EndpointBreaker()
+    private val capacity = CapacityController(network.transport, client, tables.state, settings.placement, metrics)
+    private val loads = LoadController(client, ::endpointsToPoll, listener = capacity::onReport)
     private val limits = settings.limits
     private val eventIds = eventIdsOf(Base64.getDecoder().decode(settings.sharedKey))
     private val stopFilter = StopFilter()
@@ -77,6 +82,7 @@
     public suspend fun start() {
         log(Event.START)
         controller.start(scope)
+        if (settings.placement != Placement.BLIND) capacity.start(scope)
         network.start(scope)
         loads.start(scope)
         servers.forEach { it.startSuspend(wait = false) }
@@ -104,7 +110,6 @@
     }
 
     private fun callerServer(): EmbeddedServer<*, *> {
-        val allocator = BlindAllocator(settings.dataCentre, affinityChooser(), loads, ::dataCentresOut, breaker)
         val relay = AnswerRelay(client, eventIds, RelayLimits(limits.readIdleMillis, limits.stallMillis))
         val filters = listOf(
             stopFilter,
@@ -113,7 +118,7 @@
             RouteFilter(tables.state::value),
             RetryFilter(retryBudgetOf(), metrics),
         )
-        val handler = filters.endingIn(ForwardHandler(allocator, client, relay, breaker))
+        val handler = filters.endingIn(ForwardHandler(allocator(), client, relay, breaker))
         return callerServerOf(settings) { serveCallers(handler, limits.streamBufferBytes) }
     }
 
@@ -122,8 +127,16 @@
         return embeddedServer(CIO, host = address.host, port = address.port) { serveAdmin(Admin()) }
     }
 
-    private fun endpoints(): List<Endpoint> =
-        tables.state.value.pools?.value?.pools.orEmpty().flatMap { it.endpoints }.distinctBy { it.id }
+    private fun allocator(): CapacityAllocator = when (settings.placement) {
+        Placement.BLIND -> BlindAllocator(settings.dataCentre, affinityChooser(), loads, ::dataCentresOut, breaker)
+        else -> PledgedAllocator(affinityChooser(), capacity, ::dataCentresOut, breaker, scope)
+    }
+
+    private fun endpointsToPoll(): List<Endpoint> = when (settings.placement) {
+        Placement.BLIND ->
+            tables.state.value.pools?.value?.pools.orEmpty().flatMap { it.endpoints }.distinctBy { it.id }
+        else -> capacity.endpointsToPoll()
+    }
 
     private fun dataCentresOut(): Set<DataCentreId> = tables.state.value.pools?.value?.dataCentresOut.orEmpty()
 
@@ -150,6 +163,8 @@
             uptimeMillis = uptimeMillis(),
             tables = controller.statuses(),
             peers = network.statuses(),
+            endpoints = capacity.endpointStatus(),
+            leases = capacity.leaseStatus(),
             heldBytes = memory.heldBytes,
         )
     }
