Try an endpoint again after refusals in a row, confine by what long prompts hold

Cause: a predictor that had learnt long waits refused every request, drained the queue and then never saw a sample again: one wrong variant of the simulation served nothing from 20 s to 120 s. Requests that were admitted and then not started in time were 16 in 100 of the admitted at 1.5 times capacity.

--- a/coordination/src/main/kotlin/pistachiopass/queue/FairQueue.kt
+++ b/coordination/src/main/kotlin/pistachiopass/queue/FairQueue.kt
@@ -90,11 +90,13 @@
 
     /** A workspace may hold as many places as are free, so that one that floods always leaves some to the others. */
     private fun refusalOrNull(waiting: Waiting): Refusal? {
-        val predictedMillis = forecast.firstTokenMillis(waiting.promptTokens, tokensAhead(waiting))
+        val tokensAhead = tokensAhead(waiting)
+        val predictedMillis = forecast.firstTokenMillis(waiting.promptTokens, tokensAhead)
         val lateMillis = nowMillis() + predictedMillis - waiting.startByMillis
         val freePlaces = limits.requests - requests.size
         return when {
-            lateMillis > 0 -> Refusal(RefusalReason.TOO_LATE, lateMillis)
+            lateMillis > 0 ->
+                Refusal(RefusalReason.TOO_LATE, lateMillis).also { forecast.onRefused(tokensAhead) }
             backlogs.sizeOf(waiting.workspace) >= freePlaces ->
                 Refusal(RefusalReason.QUEUE_FULL, maxOf(1, predictedMillis))
             else -> null
--- a/coordination/src/main/kotlin/pistachiopass/queue/FirstTokenPredictor.kt
+++ b/coordination/src/main/kotlin/pistachiopass/queue/FirstTokenPredictor.kt
@@ -3,7 +3,7 @@
  *
  * The model is linear: a constant, a time per token of the prompt and a time per token that waits ahead in the queue.
  * Coefficients are those of a least-squares fit in which older samples count exponentially less and the defaults
- * count like a few samples of their own.
+ * count like a few samples of their own. To the fitted value comes the part by which samples exceeded it on average.
  */
 package pistachiopass.queue
 
@@ -13,6 +13,9 @@
 public fun interface FirstTokenForecast {
     /** Returns the predicted time, in milliseconds, for a prompt that arrives with [tokensAhead] waiting before it. */
     public fun firstTokenMillis(promptTokens: Long, tokensAhead: Long): Long
+
+    /** Takes note that a request with [tokensAhead] waiting before it was refused by the prediction. */
+    public fun onRefused(tokensAhead: Long): Unit = Unit
 }
 
 /** Holds what was observed of one request: [tokensAhead] at its arrival and the time to its first token. */
@@ -49,16 +52,26 @@
         retention = RETENTION,
     )
     private var samples: Int = 0
+    private var refusalsInARow: Int = 0
+    private var overshoot: Double = 0.0
 
-    /** Whether enough requests were served for the prediction to rest on them. */
-    public val isLearnt: Boolean get() = samples >= LEARNT_SAMPLES
+    /**
+     * Whether enough requests were served for the prediction to rest on them.
+     *
+     * It no longer does once as many requests in a row were refused with nothing ahead of them.
+     */
+    public val isLearnt: Boolean get() = samples >= LEARNT_SAMPLES && refusalsInARow < LEARNT_SAMPLES
 
     /**
      * Returns the prediction; while nothing is learnt, one of zero for a request with nothing ahead of it, since
      * refusing that one would keep the endpoint from ever being learnt.
      */
     override fun firstTokenMillis(promptTokens: Long, tokensAhead: Long): Long =
-        if (!isLearnt && tokensAhead == 0L) 0 else fitted(promptTokens, tokensAhead).roundToLong()
+        if (!isLearnt && tokensAhead == 0L) 0 else withMargin(promptTokens, tokensAhead)
+
+    override fun onRefused(tokensAhead: Long) {
+        if (tokensAhead == 0L) refusalsInARow++
+    }
 
     /** Takes in a sample; one far off the prediction counts as if it were off by a factor of [OUTLIER_FACTOR]. */
     public fun learn(sample: FirstTokenSample) {
@@ -71,10 +84,15 @@
             observed
         }
         val features = featuresOf(sample.promptTokens, sample.tokensAhead)
+        overshoot = overshoot * RETENTION + (1 - RETENTION) * maxOf(0.0, bounded / predicted - 1)
         fit.add(features, bounded, weight = 1 / features.sum())
         samples++
+        refusalsInARow = 0
     }
 
+    private fun withMargin(promptTokens: Long, tokensAhead: Long): Long =
+        (fitted(promptTokens, tokensAhead) * (1 + overshoot)).roundToLong()
+
     private fun fitted(promptTokens: Long, tokensAhead: Long): Double =
         maxOf(1.0, fit.valueAt(featuresOf(promptTokens, tokensAhead)))
 
--- a/coordination/src/main/kotlin/pistachiopass/routing/LongPromptConfinement.kt
+++ b/coordination/src/main/kotlin/pistachiopass/routing/LongPromptConfinement.kt
@@ -11,7 +11,11 @@
 import pistachiopass.model.EndpointId
 import pistachiopass.model.EndpointState
 import pistachiopass.model.Pool
+import pistachiopass.model.PoolName
 import kotlin.math.ceil
+import kotlin.time.ComparableTimeMark
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.TimeSource
 
 /**
  * Returns the first [count] endpoints for long prompts of [pool] in [dataCentre]; leaving ones do not count.
@@ -31,8 +35,8 @@
     private val targetFill: Double,
     private val releaseFill: Double,
 ) {
-    /** Endpoints that long prompts may use. */
-    public var count: Int = 1
+    /** Endpoints to which long prompts are confined; 0 while there are none, so that the first may use any. */
+    public var count: Int = 0
         private set
 
     /**
@@ -44,19 +48,19 @@
     public fun update(heldShare: Double, endpoints: Int): Int {
         require(heldShare in 0.0..1.0) { "heldShare must be in 0..1, was $heldShare" }
         val load = heldShare * endpoints
-        val needed = maxOf(1, ceil(load / targetFill).toInt())
+        val needed = ceil(load / targetFill).toInt()
         val isAmple = count > needed && load <= releaseFill * (count - 1)
         val wanted = when {
             needed > count -> needed
             isAmple -> count - 1
             else -> count
         }
-        count = wanted.coerceIn(1, maxOf(1, endpoints))
+        count = wanted.coerceIn(0, endpoints)
         return count
     }
 }
 
-/** Returns a confinement to one endpoint that grows above [targetFill] and shrinks below [releaseFill]. */
+/** Returns a confinement that grows above [targetFill] and shrinks below [releaseFill]. */
 public fun longPromptConfinementOf(
     targetFill: Double = DEFAULT_TARGET_FILL,
     releaseFill: Double = DEFAULT_RELEASE_FILL,
@@ -67,5 +71,42 @@
     return LongPromptConfinement(targetFill, releaseFill)
 }
 
-private const val DEFAULT_TARGET_FILL: Double = 0.7
-private const val DEFAULT_RELEASE_FILL: Double = 0.5
+private const val DEFAULT_TARGET_FILL: Double = 0.35
+private const val DEFAULT_RELEASE_FILL: Double = 0.25
+
+/**
+ * Names the endpoints for long prompts of each pool in [dataCentre] from what load reports say; safe for use by many
+ * threads.
+ *
+ * The number follows the reports at most once in [UPDATE_MILLIS], since reports lag and would make it swing.
+ */
+public class LongPromptEndpoints(
+    private val dataCentre: DataCentreId,
+    private val timeSource: TimeSource.WithComparableMarks = TimeSource.Monotonic,
+) {
+    private val pools: HashMap<PoolName, Measured> = HashMap()
+
+    /** Returns the endpoints of [pool]; [heldTokens] gives the tokens of each request that an endpoint holds. */
+    @Synchronized
+    public fun endpointsOf(pool: Pool, heldTokens: (EndpointId) -> List<Long>): Set<EndpointId> {
+        val measured = pools.getOrPut(pool.name) { Measured(longPromptConfinementOf()) }
+        if (measured.nextUpdate?.hasNotPassedNow() != true) {
+            measured.nextUpdate = timeSource.markNow() + UPDATE_MILLIS.milliseconds
+            update(measured.confinement, pool, heldTokens)
+        }
+        return longPromptEndpoints(pool, dataCentre, measured.confinement.count)
+    }
+
+    private fun update(confinement: LongPromptConfinement, pool: Pool, heldTokens: (EndpointId) -> List<Long>) {
+        val endpoints = pool.endpoints.filter { it.dataCentre == dataCentre && it.state == EndpointState.ACTIVE }
+        val budgetTokens = endpoints.sumOf { it.budgetTokens }.coerceAtLeast(1)
+        val longTokens = endpoints.sumOf { endpoint ->
+            heldTokens(endpoint.id).filter { promptClassOf(it).isLong }.sum()
+        }
+        confinement.update((longTokens.toDouble() / budgetTokens).coerceAtMost(1.0), endpoints.size)
+    }
+
+    private class Measured(val confinement: LongPromptConfinement, var nextUpdate: ComparableTimeMark? = null)
+}
+
+private const val UPDATE_MILLIS: Long = 1_000
--- a/coordination/src/test/kotlin/pistachiopass/queue/FirstTokenPredictorTest.kt
+++ b/coordination/src/test/kotlin/pistachiopass/queue/FirstTokenPredictorTest.kt
@@ -50,6 +50,19 @@
         assertTrue(predictor.firstTokenMillis(10_000, 0) < 2 * before)
     }
 
+    @Test
+    fun `an endpoint that was slow is tried again, although all are refused`() {
+        val predictor = firstTokenPredictorOf()
+        repeat(20) { predictor.learn(FirstTokenSample(2_000, 0, 60_000)) }
+        assertTrue(predictor.firstTokenMillis(2_000, 0) > 30_000)
+        repeat(20) { predictor.onRefused(tokensAhead = 5_000) }
+        assertTrue(predictor.firstTokenMillis(2_000, 0) > 30_000)
+        repeat(8) { predictor.onRefused(tokensAhead = 0) }
+        assertEquals(0, predictor.firstTokenMillis(2_000, 0))
+        predictor.learn(FirstTokenSample(2_000, 0, 40))
+        assertTrue(predictor.isLearnt)
+    }
+
     @Test
     fun `an endpoint that has become slower is learnt anew`() {
         val predictor = firstTokenPredictorOf()
--- a/coordination/src/test/kotlin/pistachiopass/queue/QueueSimulationTest.kt
+++ b/coordination/src/test/kotlin/pistachiopass/queue/QueueSimulationTest.kt
@@ -45,6 +45,7 @@
             }
             println(figures("FAIR, unconfined", Rig(isConfined = false), load))
             println(figures("FAIR, no engine priority", Rig(hasEnginePriority = false), load))
+            println(figures("FAIR, neither", Rig(isConfined = false, hasEnginePriority = false), load))
         }
     }
 
