--- a/entry/src/main/kotlin/pistachiopass/entry/settings/Settings.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/settings/Settings.kt
@@ -1,6 +1,7 @@
 /** Settings of the daemon, read from one JSON file at start; [settingsFields] holds the rules that the values keep. */
 package pistachiopass.entry.settings
 
+import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import pistachiopass.entry.logging.HIDDEN
 import pistachiopass.model.DataCentreId
@@ -25,6 +26,8 @@
     val sharedKey: String,
     /** Peers that the instance asks before it knows the published list, each as `instance@host:port`. */
     val peers: List<String> = emptyList(),
+    /** How requests get their place on endpoints. */
+    val placement: Placement = Placement.PLEDGED,
     /** Bounds on what the instance holds for callers. */
     val limits: LimitSettings = LimitSettings(),
     /** Bounds on idempotency keys and recorded outcomes. */
@@ -36,7 +39,23 @@
     override fun toString(): String =
         "Settings(instance=$instance, dataCentre=$dataCentre, httpAddress=$httpAddress, peerAddress=$peerAddress, " +
             "adminAddress=$adminAddress, platformAddress=$platformAddress, sharedKey=$HIDDEN, peers=$peers, " +
-            "limits=$limits, ledger=$ledger, tls=$tls)"
+            "placement=$placement, limits=$limits, ledger=$ledger, tls=$tls)"
+}
+
+/** Tells how instances share the capacity of endpoints; all instances of a fleet use the same. */
+@Serializable
+public enum class Placement(public val text: String) {
+    /** By leases of an owner, to whom the others pledge their shares. */
+    @SerialName("pledged")
+    PLEDGED("pledged"),
+
+    /** By load reports and own requests alone; instances together may overrun an endpoint. */
+    @SerialName("blind")
+    BLIND("blind"),
+
+    /** Each instance uses its own share only. */
+    @SerialName("fixed-share")
+    FIXED_SHARE("fixed-share"),
 }
 
 /** Bounds on what the instance holds for callers. */
