--- a/coordination/src/main/kotlin/pistachiopass/stream/ChunkSequencer.kt
+++ b/coordination/src/main/kotlin/pistachiopass/stream/ChunkSequencer.kt
@@ -22,7 +22,7 @@
     /** The chunk belongs to another stream and was dropped. */
     public data object OtherStream : SequencerOutcome<Nothing>
 
-    /** The window is full and a chunk is missing; the stream has to be taken up again at [ChunkSequencer.nextOffset]. */
+    /** The window is full and a chunk is missing; the stream goes on from [ChunkSequencer.nextOffset]. */
     public data object Gap : SequencerOutcome<Nothing>
 }
 
