--- a/entry/src/main/kotlin/pistachiopass/entry/Daemon.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/Daemon.kt
@@ -9,7 +9,6 @@
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.flow.first
 import kotlinx.coroutines.withTimeoutOrNull
 import pistachiopass.entry.body.BodyReader
 import pistachiopass.entry.body.heldMemoryOf
@@ -39,8 +38,8 @@
 import pistachiopass.entry.placement.CapacityAllocator
 import pistachiopass.entry.placement.CapacityController
 import pistachiopass.entry.placement.PledgedAllocator
-import pistachiopass.entry.platform.TablesController
 import pistachiopass.entry.platform.platformClientOf
+import pistachiopass.entry.platform.tablesControllerOf
 import pistachiopass.entry.settings.Placement
 import pistachiopass.entry.settings.Settings
 import pistachiopass.entry.stream.AnswerRelay
@@ -66,6 +65,7 @@
     private val tables = tablesInForceOf()
     private val network = peerNetworkOf(settings, startId, metrics) { tables.state.value.instances?.value }
     private val platform = platformClientOf(settings.platformAddress, settings.instance)
+    private val controller = tablesControllerOf(platform, network, tables, metrics)
     private val client = endpointClientOf(settings.limits.readIdleMillis)
     private val breaker = EndpointBreaker()
     private val capacity = CapacityController(network.transport, client, tables.state, settings.placement, metrics)
@@ -81,12 +81,12 @@
     /** Starts the servers and controllers and returns once the instance is ready. */
     public suspend fun start() {
         log(Event.START)
+        controller.start(scope)
         if (settings.placement != Placement.BLIND) capacity.start(scope)
         network.start(scope)
-        TablesController(platform, tables, ::uptimeMillis).start(scope)
         loads.start(scope)
         servers.forEach { it.startSuspend(wait = false) }
-        tables.state.first { it.routes != null && it.pools != null }
+        while (!controller.isReady) delay(READY_POLL_MILLIS)
         log(Event.READY)
     }
 
@@ -151,7 +151,7 @@
 
     private inner class Admin : AdminSource {
         override fun isReady(): Boolean =
-            !stopping && tables.state.value.let { it.routes != null && it.pools != null }
+            !stopping && controller.isReady
 
         override fun scrape(): String = metrics.scrape()
 
@@ -161,7 +161,7 @@
             startId = startId,
             ready = isReady(),
             uptimeMillis = uptimeMillis(),
-            tables = tables.statusAt(uptimeMillis()),
+            tables = controller.statuses(),
             peers = network.statuses(),
             endpoints = capacity.endpointStatus(),
             leases = capacity.leaseStatus(),
@@ -170,5 +170,6 @@
     }
 }
 
+private const val READY_POLL_MILLIS: Long = 20
 private const val SERVER_GRACE_MILLIS: Long = 500
 private const val IDLE_POLL_MILLIS: Long = 50
