--- a/standins/src/main/kotlin/pistachiopass/standins/engine/EngineServer.kt
+++ b/standins/src/main/kotlin/pistachiopass/standins/engine/EngineServer.kt
@@ -27,7 +27,7 @@
  *
  * The fault `kill` ends the process when the engine [isAlone] in it, and else the engine's server.
  */
-internal class EngineServer(
+public class EngineServer(
     private val settings: EngineSettings,
     private val port: Int,
     private val isAlone: Boolean = true,
@@ -44,7 +44,7 @@
     private var steps: Job? = null
 
     /** Starts to serve and returns the port. */
-    suspend fun start(scope: CoroutineScope): Int {
+    public suspend fun start(scope: CoroutineScope): Int {
         val started = startFaultyServer(port, faults, ENGINE_FAULTS, this) { addRoutes() }
         server = started
         steps = scope.launch { runner.run() }
@@ -52,7 +52,7 @@
     }
 
     /** Stops to serve. */
-    fun stop() {
+    public fun stop() {
         steps?.cancel()
         server?.close()
     }
