--- a/proof/src/main/kotlin/pistachiopass/proof/history/HistoryEvent.kt
+++ b/proof/src/main/kotlin/pistachiopass/proof/history/HistoryEvent.kt
@@ -53,6 +53,8 @@
     val request: RequestId,
     val verdict: Verdict?,
     val code: String = "",
+    /** Key under which the caller may send the booking. */
+    val freshKey: String? = null,
 ) : HistoryEvent
 
 /** The connection of a caller ended before the answer did. */
