--- a/entry/src/main/kotlin/pistachiopass/entry/Daemon.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/Daemon.kt
@@ -9,7 +9,6 @@
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.flow.first
 import kotlinx.coroutines.withTimeoutOrNull
 import pistachiopass.entry.body.BodyReader
 import pistachiopass.entry.body.heldMemoryOf
@@ -36,8 +35,12 @@
 import pistachiopass.entry.metrics.metricsOf
 import pistachiopass.entry.peer.peerNetworkOf
 import pistachiopass.entry.placement.BlindAllocator
-import pistachiopass.entry.platform.TablesController
+import pistachiopass.entry.placement.CapacityAllocator
+import pistachiopass.entry.placement.CapacityController
+import pistachiopass.entry.placement.PledgedAllocator
 import pistachiopass.entry.platform.platformClientOf
+import pistachiopass.entry.platform.tablesControllerOf
+import pistachiopass.entry.settings.Placement
 import pistachiopass.entry.settings.Settings
 import pistachiopass.entry.stream.AnswerRelay
 import pistachiopass.entry.stream.RelayLimits
@@ -62,9 +65,11 @@
     private val tables = tablesInForceOf()
     private val network = peerNetworkOf(settings, startId, metrics) { tables.state.value.instances?.value }
     private val platform = platformClientOf(settings.platformAddress, settings.instance)
+    private val controller = tablesControllerOf(platform, network, tables, metrics)
     private val client = endpointClientOf(settings.limits.readIdleMillis)
-    private val loads = LoadController(client, ::endpoints)
     private val breaker = EndpointBreaker()
+    private val capacity = CapacityController(network.transport, client, tables.state, settings.placement, metrics)
+    private val loads = LoadController(client, ::endpointsToPoll, listener = capacity::onReport)
     private val limits = settings.limits
     private val eventIds = eventIdsOf(Base64.getDecoder().decode(settings.sharedKey))
     private val stopFilter = StopFilter()
@@ -76,11 +81,12 @@
     /** Starts the servers and controllers and returns once the instance is ready. */
     public suspend fun start() {
         log(Event.START)
+        controller.start(scope)
+        if (settings.placement != Placement.BLIND) capacity.start(scope)
         network.start(scope)
-        TablesController(platform, tables, ::uptimeMillis).start(scope)
         loads.start(scope)
         servers.forEach { it.startSuspend(wait = false) }
-        tables.state.first { it.routes != null && it.pools != null }
+        while (!controller.isReady) delay(READY_POLL_MILLIS)
         log(Event.READY)
     }
 
@@ -104,7 +110,6 @@
     }
 
     private fun callerServer(): EmbeddedServer<*, *> {
-        val allocator = BlindAllocator(settings.dataCentre, affinityChooser(), loads, ::dataCentresOut, breaker)
         val relay = AnswerRelay(client, eventIds, RelayLimits(limits.readIdleMillis, limits.stallMillis))
         val filters = listOf(
             stopFilter,
@@ -113,7 +118,7 @@
             RouteFilter(tables.state::value),
             RetryFilter(retryBudgetOf(), metrics),
         )
-        val handler = filters.endingIn(ForwardHandler(allocator, client, relay, breaker))
+        val handler = filters.endingIn(ForwardHandler(allocator(), client, relay, breaker))
         return callerServerOf(settings) { serveCallers(handler, limits.streamBufferBytes) }
     }
 
@@ -122,8 +127,16 @@
         return embeddedServer(CIO, host = address.host, port = address.port) { serveAdmin(Admin()) }
     }
 
-    private fun endpoints(): List<Endpoint> =
-        tables.state.value.pools?.value?.pools.orEmpty().flatMap { it.endpoints }.distinctBy { it.id }
+    private fun allocator(): CapacityAllocator = when (settings.placement) {
+        Placement.BLIND -> BlindAllocator(settings.dataCentre, affinityChooser(), loads, ::dataCentresOut, breaker)
+        else -> PledgedAllocator(affinityChooser(), capacity, ::dataCentresOut, breaker, scope)
+    }
+
+    private fun endpointsToPoll(): List<Endpoint> = when (settings.placement) {
+        Placement.BLIND ->
+            tables.state.value.pools?.value?.pools.orEmpty().flatMap { it.endpoints }.distinctBy { it.id }
+        else -> capacity.endpointsToPoll()
+    }
 
     private fun dataCentresOut(): Set<DataCentreId> = tables.state.value.pools?.value?.dataCentresOut.orEmpty()
 
@@ -138,7 +151,7 @@
 
     private inner class Admin : AdminSource {
         override fun isReady(): Boolean =
-            !stopping && tables.state.value.let { it.routes != null && it.pools != null }
+            !stopping && controller.isReady
 
         override fun scrape(): String = metrics.scrape()
 
@@ -148,12 +161,15 @@
             startId = startId,
             ready = isReady(),
             uptimeMillis = uptimeMillis(),
-            tables = tables.statusAt(uptimeMillis()),
+            tables = controller.statuses(),
             peers = network.statuses(),
+            endpoints = capacity.endpointStatus(),
+            leases = capacity.leaseStatus(),
             heldBytes = memory.heldBytes,
         )
     }
 }
 
+private const val READY_POLL_MILLIS: Long = 20
 private const val SERVER_GRACE_MILLIS: Long = 500
 private const val IDLE_POLL_MILLIS: Long = 50
--- a/entry/src/main/kotlin/pistachiopass/entry/settings/SettingsCatalogue.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/settings/SettingsCatalogue.kt
@@ -66,6 +66,11 @@
             ListRule(BootstrapPeerRule, PEERS_MAX),
             "Peers to ask for the tables at start, before the published list is known.",
         ),
+        SettingsField(
+            "placement",
+            ChoiceRule(Placement.entries.map { it.text }),
+            "How instances share endpoints; all but the first are baselines for measurements.",
+        ),
         SettingsField("limits.bodyBytes", BODY_RANGE, "Longest request body that is read."),
         SettingsField("limits.heldBytes", HELD_RANGE, "Memory for request bodies and stream buffers together."),
         SettingsField("limits.streamBufferBytes", STREAM_BUFFER_RANGE, "Buffer of one stream."),
@@ -97,7 +102,11 @@
 
 /** Returns the default of the field at [path], or null if it has to be given. */
 internal fun defaultOrNull(path: String): JsonElement? =
-    if (path == "peers") JsonArray(emptyList()) else limitDefaults[path.removePrefix("limits.")]
+    when (path) {
+        "peers" -> JsonArray(emptyList())
+        "placement" -> JsonPrimitive(Placement.PLEDGED.text)
+        else -> limitDefaults[path.removePrefix("limits.")]
+    }
 
 private fun isAtLeast(value: JsonPrimitive, other: JsonPrimitive): Boolean = value.long >= other.long
 
--- a/entry/src/test/kotlin/pistachiopass/entry/filter/RetryFilterTest.kt
+++ b/entry/src/test/kotlin/pistachiopass/entry/filter/RetryFilterTest.kt
@@ -9,12 +9,12 @@
 import io.ktor.http.HttpMethod
 import io.ktor.http.HttpStatusCode
 import io.ktor.utils.io.ByteReadChannel
-import io.ktor.utils.io.ByteWriteChannel
 import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.test.runTest
 import org.junit.jupiter.api.TestFactory
 import pistachiopass.entry.casesOf
 import pistachiopass.entry.endpoint.EndpointBreaker
+import pistachiopass.entry.http.ByteSink
 import pistachiopass.entry.http.Completion
 import pistachiopass.entry.http.Exchange
 import pistachiopass.entry.http.Handler
@@ -162,7 +162,7 @@
         override suspend fun stream(
             status: HttpStatusCode,
             headers: Headers,
-            write: suspend (ByteWriteChannel) -> Unit,
-        ): Unit = error("no reply")
+            write: suspend (ByteSink) -> Unit,
+        ): Boolean = error("no reply")
     }
 }
