--- a/entry/src/main/kotlin/pistachiopass/entry/Daemon.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/Daemon.kt
@@ -69,7 +69,7 @@
     private val client = endpointClientOf(settings.limits.readIdleMillis)
     private val breaker = EndpointBreaker()
     private val capacity = CapacityController(network.transport, client, tables.state, settings.placement, metrics)
-    private val loads = LoadController(client, ::endpointsToPoll, listener = capacity::onReport)
+    private val loads = LoadController(client, ::endpointsToPoll, listener = capacity.state::onReport)
     private val limits = settings.limits
     private val eventIds = eventIdsOf(Base64.getDecoder().decode(settings.sharedKey))
     private val stopFilter = StopFilter()
@@ -135,7 +135,7 @@
     private fun endpointsToPoll(): List<Endpoint> = when (settings.placement) {
         Placement.BLIND ->
             tables.state.value.pools?.value?.pools.orEmpty().flatMap { it.endpoints }.distinctBy { it.id }
-        else -> capacity.endpointsToPoll()
+        else -> capacity.state.endpointsToPoll()
     }
 
     private fun dataCentresOut(): Set<DataCentreId> = tables.state.value.pools?.value?.dataCentresOut.orEmpty()
@@ -163,8 +163,8 @@
             uptimeMillis = uptimeMillis(),
             tables = controller.statuses(),
             peers = network.statuses(),
-            endpoints = capacity.endpointStatus(),
-            leases = capacity.leaseStatus(),
+            endpoints = capacity.state.endpointStatus(),
+            leases = capacity.state.leaseStatus(),
             heldBytes = memory.heldBytes,
         )
     }
--- a/entry/src/main/kotlin/pistachiopass/entry/placement/OwnerDesk.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/placement/OwnerDesk.kt
@@ -81,11 +81,7 @@
 
         @Synchronized
         fun drain() {
-            while (true) {
-                val next = queue.takeNext(::fits) ?: break
-                val entry = entries.remove(next.id) ?: continue
-                grant(entry)
-            }
+            generateSequence { queue.takeNext(::fits) }.forEach { next -> entries.remove(next.id)?.let(::grant) }
             val refusal = table.refusalOrNull(endpoint, Capacity.NONE)
             if (refusal in FINAL_REFUSALS) entries.values.toList().forEach { refuse(it, refusal) }
         }
--- a/entry/src/main/kotlin/pistachiopass/entry/placement/PledgedAllocator.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/placement/PledgedAllocator.kt
@@ -44,7 +44,7 @@
     private val scope: CoroutineScope,
     private val log: EventLog = EventLog,
 ) : CapacityAllocator {
-    private val dataCentre: DataCentreId = capacity.dataCentre
+    private val dataCentre: DataCentreId = capacity.state.dataCentre
 
     override suspend fun allocate(
         requestId: RequestId,
@@ -76,13 +76,14 @@
          * that one stops to answer for the endpoint.
          */
         suspend fun afterWait(): Pair<Endpoint, HeldLease>? {
-            while (remainingMillis() > SEND_RESERVE_MILLIS) {
-                val endpoint = waitingEndpointOrNull() ?: return null
-                ask(endpoint, remainingMillis() - SEND_RESERVE_MILLIS)?.let { return it }
-                if (lastRefusal == LeaseRefusal.QUEUE) return null
-                delay(ASK_PAUSE_MILLIS)
+            var lease: Pair<Endpoint, HeldLease>? = null
+            var endpoint = waitingEndpointOrNull()
+            while (lease == null && endpoint != null && remainingMillis() > SEND_RESERVE_MILLIS) {
+                lease = ask(endpoint, remainingMillis() - SEND_RESERVE_MILLIS)
+                if (lease == null) delay(ASK_PAUSE_MILLIS)
+                endpoint = waitingEndpointOrNull().takeIf { lastRefusal != LeaseRefusal.QUEUE }
             }
-            return null
+            return lease
         }
 
         private fun waitingEndpointOrNull(): Endpoint? {
@@ -97,16 +98,18 @@
         }
 
         private suspend fun tryEach(endpoints: List<Endpoint>, attempts: Int): Pair<Endpoint, HeldLease>? {
-            repeat(attempts) {
-                val endpoint = choose(endpoints).endpoint ?: return null
-                ask(endpoint, waitMillis = 0)?.let { return it }
-                refused += endpoint.id
+            var lease: Pair<Endpoint, HeldLease>? = null
+            var attempt = 0
+            while (lease == null && attempt++ < attempts) {
+                val endpoint = choose(endpoints).endpoint ?: break
+                lease = ask(endpoint, waitMillis = 0)
+                if (lease == null) refused += endpoint.id
             }
-            return null
+            return lease
         }
 
         private suspend fun ask(endpoint: Endpoint, waitMillis: Long): Pair<Endpoint, HeldLease>? {
-            val owner = capacity.grantorOrNull(endpoint.id) ?: return null
+            val owner = capacity.state.grantorOrNull(endpoint.id) ?: return null
             val request = LeaseRequest(
                 requestId = requestId,
                 endpoint = endpoint.id,
@@ -139,7 +142,7 @@
         }
 
         private fun loadOf(endpoint: Endpoint): EndpointLoad {
-            val summary = capacity.summaryOrNull(endpoint.id)
+            val summary = capacity.state.summaryOrNull(endpoint.id)
             return EndpointLoad(
                 cold = summary?.cold ?: (endpoint.dataCentre == dataCentre),
                 reachable = summary?.silent != true && endpoint.id !in refused && !breaker.isOpen(endpoint.id),
