--- a/entry/src/main/kotlin/pistachiopass/entry/placement/CapacityController.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/placement/CapacityController.kt
@@ -100,11 +100,7 @@
 
     private suspend fun sweep(scope: CoroutineScope) {
         table.sweep().filter { it.endpoint !in state.duties.plain }.forEach { orphan ->
-            scope.launch {
-                cancel(
-                    orphan
-                )
-            }
+            scope.launch { cancel(orphan) }
         }
         desk.drain()
         delay(SWEEP_MILLIS)
