--- a/entry/src/main/kotlin/pistachiopass/entry/Daemon.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/Daemon.kt
@@ -73,7 +73,7 @@
     private val client = endpointClientOf(settings.limits.readIdleMillis)
     private val breaker = EndpointBreaker()
     private val capacity = CapacityController(network.transport, client, tables.state, settings.placement, metrics)
-    private val loads = LoadController(client, ::endpointsToPoll, listener = capacity::onReport)
+    private val loads = LoadController(client, ::endpointsToPoll, listener = capacity.state::onReport)
     private val limits = settings.limits
     private val eventIds = eventIdsOf(Base64.getDecoder().decode(settings.sharedKey))
     private val allocator = allocator()
@@ -143,7 +143,7 @@
     private fun endpointsToPoll(): List<Endpoint> = when (settings.placement) {
         Placement.BLIND ->
             tables.state.value.pools?.value?.pools.orEmpty().flatMap { it.endpoints }.distinctBy { it.id }
-        else -> capacity.endpointsToPoll()
+        else -> capacity.state.endpointsToPoll()
     }
 
     private fun instances(): List<Instance> = tables.state.value.instances?.value?.instances.orEmpty()
@@ -173,8 +173,8 @@
             uptimeMillis = uptimeMillis(),
             tables = controller.statuses(),
             peers = network.statuses(),
-            endpoints = capacity.endpointStatus(),
-            leases = capacity.leaseStatus(),
+            endpoints = capacity.state.endpointStatus(),
+            leases = capacity.state.leaseStatus(),
             heldBytes = memory.heldBytes,
         )
     }
