Prove the relay in virtual time and look at the tables again before each send

Cause: the relay had no proof under loss, cuts and restarts, and a request that was placed before its endpoint was taken out could still be sent there late.

Ruled out: repairing lost messages at the normal period alone: in the simulation an instance whose comparison or fetch failed twice missed the bound; a failed call now makes the next comparison due soon. Asking the first of several announcers: at a start the older of two offers could come into force first; the highest version is fetched.

Change: a seeded simulation of instances, platform and network in test sources with cases of loss, doubling, reordering, cuts, dead readers, restarts, crossing edits, out and back; each invariant also runs against a relay that is wrong in one way. ForwardHandler checks the pools in force immediately before the send and fails as not run with the endpoint named, so that the retry filter places anew.

Limits: the cases run with 10 in 100 messages lost and delays up to 400 ms.

Not done: cold marks for endpoints of a data centre that returns, and orders.

--- /dev/null
+++ b/coordination/src/main/kotlin/pistachiopass/routing/Service.kt
@@ -0,0 +1,21 @@
+/** Whether endpoints are in service by the pools table in force. */
+package pistachiopass.routing
+
+import pistachiopass.model.Endpoint
+import pistachiopass.model.EndpointState
+import pistachiopass.model.PoolName
+import pistachiopass.model.PoolsTable
+
+/**
+ * Returns whether [endpoint], as it was when it was chosen, still takes new work of [pool].
+ *
+ * An endpoint that has moved to another address or data centre does not: it may be another process.
+ */
+public fun PoolsTable.takesWork(pool: PoolName, endpoint: Endpoint): Boolean {
+    val current = pools.find { it.name == pool }?.endpoints?.find { it.id == endpoint.id }
+    return current != null &&
+        current.address == endpoint.address &&
+        current.dataCentre == endpoint.dataCentre &&
+        current.state == EndpointState.ACTIVE &&
+        current.dataCentre !in dataCentresOut
+}
--- a/coordination/src/main/kotlin/pistachiopass/tables/relay/DocumentFetches.kt
+++ b/coordination/src/main/kotlin/pistachiopass/tables/relay/DocumentFetches.kt
@@ -1,8 +1,8 @@
 /**
  * The documents that are being fetched from peers: one call at a time for each document.
  *
- * Peers that announce a version while a call is under way are remembered and asked next if the call fails or brings a
- * lower version.
+ * Peers that announce a version while a call is under way are remembered; the one with the highest version is asked
+ * next if the call fails or brings a lower one.
  */
 package pistachiopass.tables.relay
 
@@ -38,7 +38,8 @@
     private fun nextOrNull(document: DocumentName, inForce: TableVersion): RelayAction? {
         val queue = offers[document] ?: return null
         queue.removeAll { it.version <= inForce }
-        return queue.removeFirstOrNull()?.let { next ->
+        return queue.maxByOrNull { it.version }?.let { next ->
+            queue -= next
             running += document
             RelayAction.Fetch(next.peer, document)
         }
--- a/coordination/src/main/kotlin/pistachiopass/tables/relay/RelayPeers.kt
+++ b/coordination/src/main/kotlin/pistachiopass/tables/relay/RelayPeers.kt
@@ -4,6 +4,7 @@
 import pistachiopass.model.InstanceId
 import pistachiopass.model.InstanceList
 import kotlin.time.ComparableTimeMark
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
 /** Tells whom to announce to and with whom to compare; [list] gives the list in force or one that serves meanwhile. */
@@ -33,11 +34,19 @@
     fun partnerOrNull(hasTables: Boolean): InstanceId? {
         if (compareAt.hasNotPassedNow()) return null
         val meanMillis = if (hasTables) settings.compareMillis else minOf(settings.compareMillis, URGENT_MILLIS)
-        val factor = 1 + settings.jitter * (2 * environment.random.nextDouble() - 1)
-        compareAt = environment.clock.markNow() + (meanMillis * factor).milliseconds
+        compareAt = environment.clock.markNow() + jittered(meanMillis)
         val partners = list()?.let { near() + it.farPartnersOf(self, settings.farPartners) } ?: environment.bootstrap
         return partners.filterNot(silentPeers::isSilent).ifEmpty { partners }.randomOrNull(environment.random)
     }
+
+    /** Makes the next comparison due soon, since a call to a peer failed. */
+    fun compareSoon() {
+        compareAt = minOf(compareAt, environment.clock.markNow() + jittered(SOON_MILLIS))
+    }
+
+    private fun jittered(meanMillis: Long): Duration =
+        (meanMillis * (1 + settings.jitter * (2 * environment.random.nextDouble() - 1))).milliseconds
 }
 
 private const val URGENT_MILLIS: Long = 1_000
+private const val SOON_MILLIS: Long = 300
--- a/coordination/src/main/kotlin/pistachiopass/tables/relay/TableRelay.kt
+++ b/coordination/src/main/kotlin/pistachiopass/tables/relay/TableRelay.kt
@@ -58,9 +58,9 @@
     @Synchronized
     public fun onCompared(peer: InstanceId, versions: TableVersions?, askedAt: ComparableTimeMark): List<RelayAction> {
         start.onAnswer(peer, versions)
-        if (versions == null) return emptyList()
-        versions.documents.forEach { documents.confirm(it, askedAt) }
-        return fetchWanted(peer, versions)
+        if (versions == null) peers.compareSoon()
+        versions?.documents?.forEach { documents.confirm(it, askedAt) }
+        return versions?.let { fetchWanted(peer, it) }.orEmpty()
     }
 
     /** Takes the document that [action] brought, or null when the call failed. */
@@ -70,6 +70,7 @@
         relayed: RelayedDocument?,
         askedAt: ComparableTimeMark,
     ): List<RelayAction> {
+        if (relayed == null) peers.compareSoon()
         val isNew = relayed != null && relayed.document == action.document &&
             documents.offer(relayed, action.peer, askedAt)
         val next = fetches.endedOrNull(action.document, documents.state.versionOf(action.document))
--- /dev/null
+++ b/coordination/src/test/kotlin/pistachiopass/tables/relay/RelaySimulation.kt
@@ -0,0 +1,302 @@
+/** A small simulation of instances, platform and network in virtual time, driven by one seed. */
+package pistachiopass.tables.relay
+
+import kotlinx.serialization.json.Json
+import pistachiopass.membership.Reachability
+import pistachiopass.model.DataCentreId
+import pistachiopass.model.Instance
+import pistachiopass.model.InstanceId
+import pistachiopass.model.InstanceList
+import pistachiopass.model.Published
+import pistachiopass.model.TableVersion
+import pistachiopass.tables.DocumentName
+import pistachiopass.tables.OfferOutcome
+import pistachiopass.tables.tablesInForceOf
+import java.util.EnumMap
+import java.util.PriorityQueue
+import kotlin.random.Random
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.TestTimeSource
+
+/** What a run is like; the last four make the relay wrong in one way each. */
+internal data class Scene(
+    val dataCentres: Int = 3,
+    val perDataCentre: Int = 3,
+    val seed: Int = 1,
+    val lossPercent: Int = 0,
+    val doublePercent: Int = 0,
+    val delayMillis: LongRange = 1L..5L,
+    val settings: RelaySettings = RelaySettings(),
+    val announces: Boolean = true,
+    val compares: Boolean = true,
+    val startAsksPeers: Boolean = true,
+    val carriesAge: Boolean = true,
+)
+
+/** One version that an instance put in force. */
+internal data class Seen(val atMillis: Long, val instance: InstanceId, val document: DocumentName, val version: Long)
+
+/** Runs instances against one fake platform. */
+internal class RelaySimulation(val scene: Scene) {
+    private class Step(val atMillis: Long, val order: Long, val run: () -> Unit)
+
+    val clock = TestTimeSource()
+    val random = Random(scene.seed)
+    var nowMillis = 0L
+        private set
+    private var steps = PriorityQueue(compareBy<Step>({ it.atMillis }, { it.order }))
+    private var order = 0L
+    val accepted = ArrayList<Seen>()
+
+    /** Versions that instances served by: at becoming ready and from then on. */
+    val history = ArrayList<Seen>()
+    val publishedAt = HashMap<Pair<DocumentName, Long>, Long>()
+    val platform = FakePlatform(this)
+    val cuts = HashSet<Set<DataCentreId>>()
+    var messages = 0L
+    var bytes = 0L
+    val members = (0 until scene.dataCentres).flatMap { dataCentre ->
+        (0 until scene.perDataCentre).map { RelayMember(InstanceId("i$dataCentre-$it"), dc(dataCentre)) }
+    }
+    val list = InstanceList(
+        members.mapIndexed { index, member ->
+            Instance(member.instance, member.dataCentre, "10.0.0.1:${index + 1}", "10.0.0.2:${index + 1}")
+        },
+    )
+    val nodes = members.associate { it.instance to Node(this, it) }
+
+    fun at(delayMillis: Long, run: () -> Unit) {
+        steps += Step(nowMillis + delayMillis, order++, run)
+    }
+
+    fun runFor(millis: Long) {
+        val endMillis = nowMillis + millis
+        while (steps.isNotEmpty() && steps.peek().atMillis <= endMillis) {
+            val step = steps.remove()
+            moveTo(step.atMillis)
+            step.run()
+        }
+        moveTo(endMillis)
+    }
+
+    /** Carries a message unless it is lost or its way is cut; may double it. */
+    fun send(from: RelayMember, to: InstanceId, sizeBytes: Int, deliver: (Node) -> Unit) {
+        messages++
+        bytes += sizeBytes + FRAME_BYTES
+        val node = nodes.getValue(to)
+        val copies = if (random.nextInt(100) < scene.doublePercent) 2 else 1
+        repeat(copies) {
+            val isLost = random.nextInt(100) < scene.lossPercent
+            at(random.nextLong(scene.delayMillis.first, scene.delayMillis.last + 1)) {
+                val isCut = setOf(from.dataCentre, node.self.dataCentre) in cuts
+                if (!isLost && !isCut && node.isUp) deliver(node)
+            }
+        }
+    }
+
+    fun cut(dataCentre: Int, isCut: Boolean) = (0 until scene.dataCentres).filter { it != dataCentre }.forEach {
+        val way = setOf(dc(dataCentre), dc(it))
+        if (isCut) cuts += way else cuts -= way
+    }
+
+    fun versionsOf(document: DocumentName): Map<InstanceId, Long> =
+        nodes.mapValues { it.value.versionOf(document) }
+
+    private fun moveTo(millis: Long) {
+        clock += (millis - nowMillis).milliseconds
+        nowMillis = millis
+    }
+}
+
+/** Holds documents, answers watches and counts calls; can be stale, absent, or cut off from data centres. */
+internal class FakePlatform(private val simulation: RelaySimulation) {
+    private val current = EnumMap<DocumentName, Published<String>>(DocumentName::class.java)
+    private var stale: Map<DocumentName, Published<String>>? = null
+    private val earlier = EnumMap<DocumentName, Published<String>>(DocumentName::class.java)
+    private val waiting = ArrayList<Waiting>()
+    private var isAbsent = false
+    val cutOff = HashSet<DataCentreId>()
+    val callsAtMillis = ArrayList<Long>()
+
+    private class Waiting(val from: RelayMember, val action: RelayAction.Watch, val end: (WatchOutcome) -> Unit)
+
+    fun publish(document: DocumentName, version: Long, text: String) {
+        current[document]?.let { earlier[document] = it }
+        current[document] = Published(document.text, TableVersion(version), text)
+        simulation.publishedAt[document to version] = simulation.nowMillis
+        waiting.filter { it.from.dataCentre !in cutOff && !isAbsent }
+            .forEach { entry -> changedOrNull(entry.action)?.let { end(entry, it) } }
+    }
+
+    /** Shows, from now on, the state of [document] before the last. */
+    fun showOlder(document: DocumentName) {
+        stale = current + (document to earlier.getValue(document))
+    }
+
+    /** Goes down and fails all waiting watches, or comes back. */
+    fun goAbsent(isDown: Boolean) {
+        isAbsent = isDown
+        if (isDown) waiting.toList().forEach { end(it, WatchOutcome.Unavailable("down")) }
+    }
+
+    fun watch(from: RelayMember, action: RelayAction.Watch, end: (WatchOutcome) -> Unit) {
+        callsAtMillis += simulation.nowMillis
+        val changed = changedOrNull(action)
+        when {
+            isAbsent || from.dataCentre in cutOff -> simulation.at(CALL_MILLIS) { end(WatchOutcome.Unavailable("")) }
+            changed != null -> simulation.at(CALL_MILLIS) { end(changed) }
+            else -> Waiting(from, action, end).let { entry ->
+                waiting += entry
+                simulation.at(action.waitMillis) { end(entry, WatchOutcome.Unchanged) }
+            }
+        }
+    }
+
+    private fun end(entry: Waiting, outcome: WatchOutcome) {
+        val isCut = isAbsent || entry.from.dataCentre in cutOff
+        val answer = if (isCut) WatchOutcome.Unavailable("cut off") else outcome
+        if (waiting.remove(entry)) simulation.at(CALL_MILLIS) { entry.end(answer) }
+    }
+
+    private fun changedOrNull(action: RelayAction.Watch): WatchOutcome? =
+        (stale ?: current)[action.document]?.takeIf { it.version > action.after }?.let {
+            WatchOutcome.Changed(Published(it.name, it.version, Json.parseToJsonElement(it.value)))
+        }
+}
+
+/** One instance over all its lives. */
+internal class Node(private val simulation: RelaySimulation, val self: RelayMember) {
+    var isUp = false
+        private set
+    private var life = 0
+    private var reachability = Reachability(3_000, simulation.clock)
+    private var tables = tablesInForceOf()
+    lateinit var relay: TableRelay
+        private set
+
+    fun start(bootstrap: List<InstanceId> = emptyList()) {
+        life++
+        isUp = true
+        reachability = Reachability(3_000, simulation.clock)
+        tables = tablesInForceOf()
+        val random = Random(simulation.random.nextInt())
+        val environment = RelayEnvironment(self, reachability, bootstrap, simulation.clock, random)
+        val mine = life
+        val observer = History { document, version ->
+            if (mine == life) simulation.accepted += Seen(simulation.nowMillis, self.instance, document, version)
+            if (mine == life && relay.isReady) note(document, version)
+        }
+        relay = tableRelayOf(environment, tables, observer, simulation.scene.settings)
+        loop(random.nextLong(TICK_MILLIS), TICK_MILLIS) {
+            val wasReady = relay.isReady
+            perform(relay.tick())
+            if (relay.isReady && !wasReady) DocumentName.entries.forEach { note(it, versionOf(it)) }
+        }
+        loop(random.nextLong(BEAT_MILLIS), BEAT_MILLIS, ::beat)
+    }
+
+    fun stop() {
+        life++
+        isUp = false
+    }
+
+    fun versionOf(document: DocumentName): Long = tables.state.value.versionOf(document).value
+
+    private fun note(document: DocumentName, version: Long) {
+        if (version > 0) simulation.history += Seen(simulation.nowMillis, self.instance, document, version)
+    }
+
+    private fun loop(firstMillis: Long, periodMillis: Long, run: () -> Unit): Unit = inLife(firstMillis) {
+        run()
+        loop(periodMillis, periodMillis, run)
+    }
+
+    private fun inLife(delayMillis: Long, run: () -> Unit) {
+        val mine = life
+        simulation.at(delayMillis) { if (mine == life) run() }
+    }
+
+    private fun beat() = tables.state.value.instances?.value?.neighboursOf(self).orEmpty().forEach { peer ->
+        val other = simulation.nodes.getValue(peer)
+        val isLost = simulation.random.nextInt(100) < simulation.scene.lossPercent
+        if (!isLost && other.isUp) other.reachability.heard(self.instance)
+    }
+
+    private fun perform(actions: List<RelayAction>): Unit = actions.forEach(::perform)
+
+    private fun perform(action: RelayAction) {
+        val askedAt = simulation.clock.markNow()
+        when (action) {
+            is RelayAction.Watch -> watch(action) { perform(relay.onWatched(action, it, askedAt)) }
+            RelayAction.ReadList -> watch(LIST_WATCH) { relay.onListRead(it) }
+            is RelayAction.Announce -> if (simulation.scene.announces) action.peers.forEach { announce(it, action) }
+            is RelayAction.Compare -> compare(action) { perform(relay.onCompared(action.peer, it, askedAt)) }
+            is RelayAction.Fetch -> fetch(action) { perform(relay.onFetched(action, it, askedAt)) }
+        }
+    }
+
+    private fun watch(action: RelayAction.Watch, end: (WatchOutcome) -> Unit) {
+        val mine = life
+        simulation.platform.watch(self, action) { if (mine == life) end(it) }
+    }
+
+    private fun announce(peer: InstanceId, action: RelayAction.Announce): Unit =
+        simulation.send(self, peer, TABLES_ANNOUNCED.encode(action.versions).payload.size) { other ->
+            other.perform(other.relay.onAnnounced(self.instance, action.versions))
+        }
+
+    private fun compare(action: RelayAction.Compare, end: (TableVersions?) -> Unit) {
+        val size = TABLES_COMPARED.encode(action.versions).payload.size
+        val isMuted = !simulation.scene.compares || (!simulation.scene.startAsksPeers && !relay.isReady)
+        call(action.peer, if (isMuted) null else size, end) { other ->
+            other.perform(other.relay.onAnnounced(self.instance, action.versions))
+            val versions = other.relay.documents.versions()
+            (if (simulation.scene.carriesAge) versions else versions.withoutAge()) to size
+        }
+    }
+
+    private fun fetch(action: RelayAction.Fetch, end: (RelayedDocument?) -> Unit): Unit =
+        call(action.peer, DOCUMENT_REQUEST_BYTES, end) { other ->
+            val document = other.relay.documents.relayedOf(action.document)
+            document to (document.body?.size ?: 0)
+        }
+
+    /** Calls [peer] with a message of [sizeBytes], null for one that never leaves; ends once, at last by a timeout. */
+    private fun <T : Any> call(peer: InstanceId, sizeBytes: Int?, end: (T?) -> Unit, answer: (Node) -> Pair<T, Int>) {
+        val mine = life
+        var hasEnded = false
+        val finish = { value: T? ->
+            if (mine == life && !hasEnded) {
+                hasEnded = true
+                end(value)
+            }
+        }
+        simulation.at(CALL_TIMEOUT_MILLIS) { finish(null) }
+        if (sizeBytes == null) return
+        simulation.send(self, peer, sizeBytes) { other ->
+            val (value, bytes) = answer(other)
+            simulation.send(other.self, self.instance, bytes) { finish(value) }
+        }
+    }
+}
+
+private class History(private val accepted: (DocumentName, Long) -> Unit) : RelayObserver {
+    override fun onOffered(document: DocumentName, version: TableVersion, peer: InstanceId?, outcome: OfferOutcome) {
+        if (outcome is OfferOutcome.Accepted) accepted(document, version.value)
+    }
+
+    override fun onStarted(answers: Int) = Unit
+
+    override fun onPlatform(document: DocumentName, isReachable: Boolean) = Unit
+}
+
+private fun TableVersions.withoutAge() = TableVersions(documents.map { it.copy(ageMillis = 0) })
+
+internal fun dc(index: Int): DataCentreId = DataCentreId("dc$index")
+
+private val LIST_WATCH = RelayAction.Watch(DocumentName.INSTANCES, TableVersion.NONE, waitMillis = 0)
+private const val FRAME_BYTES = 36 + 40
+private const val CALL_MILLIS = 3L
+private const val CALL_TIMEOUT_MILLIS = 1_000L
+private const val BEAT_MILLIS = 1_000L
+private const val DOCUMENT_REQUEST_BYTES = 30
--- a/entry/src/main/kotlin/pistachiopass/entry/filter/ForwardHandler.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/filter/ForwardHandler.kt
@@ -34,22 +34,41 @@
 import pistachiopass.model.FailureCode
 import pistachiopass.model.PRIORITY_HEADER
 import pistachiopass.model.PoolKind
+import pistachiopass.model.PoolsTable
 import pistachiopass.model.REMAINING_MILLIS_HEADER
 import pistachiopass.model.REQUEST_ID_HEADER
 import pistachiopass.model.Verdict
 import pistachiopass.routing.promptClassOf
+import pistachiopass.routing.takesWork
 import kotlin.time.Duration.Companion.milliseconds
 
-/** Allocates room with [allocator] and sends through [client]; [breaker] learns which endpoints answer. */
+/**
+ * Allocates room with [allocator] and sends through [client]; [breaker] learns which endpoints answer.
+ *
+ * The pools in force, which [pools] returns, are looked at again immediately before the send: a request that waited, or
+ * whose process was paused, fails as not run when its endpoint takes no new work any more, and can be placed anew.
+ */
 public class ForwardHandler(
     private val allocator: CapacityAllocator,
     private val client: EndpointClient,
     private val relay: AnswerRelay,
     private val breaker: EndpointBreaker = EndpointBreaker(),
+    private val pools: () -> PoolsTable?,
 ) : Handler {
     override suspend fun handle(context: RequestContext): Result<Completion, Failure> =
         allocator.allocate(context.exchange.requestId, context.requireFacts(), context.requireTarget())
-            .andThen { allocation -> forwardAndRelease(context, allocation) }
+            .andThen { allocation ->
+                val pool = context.requireTarget().pool.name
+                val takesWork = pools()?.takesWork(pool, allocation.endpoint) ?: false
+                if (takesWork) forwardAndRelease(context, allocation) else withdrawn(allocation)
+            }
+
+    private suspend fun withdrawn(allocation: Allocation): Result<Completion, Failure> {
+        withContext(NonCancellable) { allocation.release(LeaseEnd.FREED) }
+        val endpoint = allocation.endpoint.id
+        val failure = notRun(FailureCode.NO_ENDPOINT, "endpoint $endpoint was taken out of service", RETRY_MILLIS)
+        return Err(failure.copy(endpoint = endpoint))
+    }
 
     private suspend fun forwardAndRelease(
         context: RequestContext,
