--- a/entry/src/main/kotlin/pistachiopass/entry/Daemon.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/Daemon.kt
@@ -118,7 +118,9 @@
             RouteFilter(tables.state::value),
             RetryFilter(retryBudgetOf(), metrics),
         )
-        val handler = filters.endingIn(ForwardHandler(allocator(), client, relay, breaker) { tables.state.value.pools?.value })
+        val handler = filters.endingIn(
+            ForwardHandler(allocator(), client, relay, breaker) { tables.state.value.pools?.value }
+        )
         return callerServerOf(settings) { serveCallers(handler, limits.streamBufferBytes) }
     }
 
