--- a/entry/src/main/kotlin/pistachiopass/entry/Daemon.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/Daemon.kt
@@ -126,7 +126,9 @@
             BookingFilter(bookings, settings.ledger.recordBytes, metrics),
             RetryFilter(retryBudgetOf(), metrics),
         )
-        val handler = filters.endingIn(ForwardHandler(allocator, client, relay, breaker))
+        val handler = filters.endingIn(
+            ForwardHandler(allocator, client, relay, breaker) { tables.state.value.pools?.value },
+        )
         return callerServerOf(settings) { serveCallers(handler, limits.streamBufferBytes) }
     }
 
