--- a/standins/src/main/kotlin/pistachiopass/standins/load/LoadCaller.kt
+++ b/standins/src/main/kotlin/pistachiopass/standins/load/LoadCaller.kt
@@ -13,6 +13,7 @@
 import io.ktor.http.HttpStatusCode
 import io.ktor.http.contentType
 import io.ktor.utils.io.readLine
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.TimeoutCancellationException
 import kotlinx.coroutines.withTimeout
 import kotlinx.io.IOException
@@ -43,15 +44,11 @@
         val target = targets[arrival.number % targets.size]
         var firstTokenMillis: Double? = null
         val failure =
-            try {
+            runCatching {
                 withTimeout(scenario.timeoutMillis) {
                     send(arrival, target) { firstTokenMillis = firstTokenMillis ?: elapsedMillis() }
                 }
-            } catch (_: TimeoutCancellationException) {
-                "timeout of the caller"
-            } catch (failure: IOException) {
-                "connection: ${failure::class.simpleName}"
-            }
+            }.getOrElse(::failureTextOf)
         return Outcome(arrival, firstTokenMillis, elapsedMillis(), failure)
     }
 
@@ -106,6 +103,14 @@
         }
 }
 
+/** Returns what a request failed of; the end of the whole run and errors of the JVM are thrown again. */
+private fun failureTextOf(failure: Throwable): String = when (failure) {
+    is TimeoutCancellationException -> "timeout of the caller"
+    is CancellationException, is Error -> throw failure
+    is IOException -> "connection: ${failure::class.simpleName}"
+    else -> "caller: ${failure::class.simpleName}"
+}
+
 /** Returns a prompt of exactly the planned number of tokens; requests of a workspace share its beginning. */
 internal fun promptOf(arrival: Arrival): String {
     val characters = arrival.promptTokens * CHARACTERS_PER_TOKEN
--- a/standins/src/test/kotlin/pistachiopass/standins/load/LoadTest.kt
+++ b/standins/src/test/kotlin/pistachiopass/standins/load/LoadTest.kt
@@ -70,6 +70,14 @@
             assertEquals(arrivalsOf(small).size, mostOpen)
         }
 
+    @Test
+    fun `an unexpected failure of one request is its outcome and does not end the run`() =
+        runTest {
+            val arrival = Arrival(number = 0, atMillis = 0.0, workspace = "w", promptTokens = 1_000)
+            val outcome = LoadCaller(Scenario(), listOf("127.0.0.1:no-port")).use { it.call(arrival) { 1.0 } }
+            assertTrue(outcome.failure.orEmpty().startsWith("caller: "), "failure is ${outcome.failure}")
+        }
+
     @Test
     fun `a prompt has four characters for each token`() {
         val arrival = Arrival(number = 3, atMillis = 0.0, workspace = "w", promptTokens = 1_001)
