--- a/entry/src/main/kotlin/pistachiopass/entry/Daemon.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/Daemon.kt
@@ -9,9 +9,12 @@
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.withTimeoutOrNull
 import pistachiopass.entry.body.BodyReader
 import pistachiopass.entry.body.heldMemoryOf
+import pistachiopass.entry.booking.BookingFilter
+import pistachiopass.entry.booking.EndpointBookingSender
+import pistachiopass.entry.booking.VerdictFilter
+import pistachiopass.entry.booking.instanceBookingsOf
 import pistachiopass.entry.endpoint.EndpointBreaker
 import pistachiopass.entry.endpoint.LoadController
 import pistachiopass.entry.endpoint.endpointClientOf
@@ -46,6 +49,7 @@
 import pistachiopass.entry.stream.RelayLimits
 import pistachiopass.model.DataCentreId
 import pistachiopass.model.Endpoint
+import pistachiopass.model.Instance
 import pistachiopass.peer.startIdOf
 import pistachiopass.routing.affinityChooser
 import pistachiopass.status.InstanceStatus
@@ -72,6 +76,14 @@
     private val loads = LoadController(client, ::endpointsToPoll, listener = capacity::onReport)
     private val limits = settings.limits
     private val eventIds = eventIdsOf(Base64.getDecoder().decode(settings.sharedKey))
+    private val allocator = allocator()
+    private val bookings = instanceBookingsOf(
+        settings,
+        network.transport,
+        EndpointBookingSender(allocator, client, tables.state::value, settings.ledger),
+        ::instances,
+        scope,
+    )
     private val stopFilter = StopFilter()
     private val servers = listOf(callerServer(), adminServer())
 
@@ -94,31 +106,27 @@
     public suspend fun stop() {
         stopping = true
         log(Event.STOP_BEGUN)
-        stopFilter.close()
-        val drained = withTimeoutOrNull(settings.limits.stopMillis) { awaitIdle() } != null
-        if (!drained) EventLog.log(Event.STOP_TIMED_OUT, field("running", stopFilter.runningRequests))
+        GracefulStop(stopFilter, bookings, limits.stopMillis).run()
         servers.forEach { it.stopSuspend(SERVER_GRACE_MILLIS, SERVER_GRACE_MILLIS) }
-        scope.cancel()
         network.close()
+        scope.cancel()
         client.close()
         platform.close()
         log(Event.STOP_DONE)
     }
 
-    private suspend fun awaitIdle() {
-        while (stopFilter.runningRequests > 0) delay(IDLE_POLL_MILLIS)
-    }
-
     private fun callerServer(): EmbeddedServer<*, *> {
         val relay = AnswerRelay(client, eventIds, RelayLimits(limits.readIdleMillis, limits.stallMillis))
         val filters = listOf(
+            VerdictFilter(),
             stopFilter,
             ResumeFilter(tables.state::value, eventIds, relay, client),
             BodyFilter(BodyReader(limits.bodyBytes, memory)),
             RouteFilter(tables.state::value),
+            BookingFilter(bookings, settings.ledger.recordBytes, metrics),
             RetryFilter(retryBudgetOf(), metrics),
         )
-        val handler = filters.endingIn(ForwardHandler(allocator(), client, relay, breaker))
+        val handler = filters.endingIn(ForwardHandler(allocator, client, relay, breaker))
         return callerServerOf(settings) { serveCallers(handler, limits.streamBufferBytes) }
     }
 
@@ -138,6 +146,8 @@
         else -> capacity.endpointsToPoll()
     }
 
+    private fun instances(): List<Instance> = tables.state.value.instances?.value?.instances.orEmpty()
+
     private fun dataCentresOut(): Set<DataCentreId> = tables.state.value.pools?.value?.dataCentresOut.orEmpty()
 
     private fun uptimeMillis(): Long = startedAt.elapsedNow().inWholeMilliseconds
@@ -172,4 +182,3 @@
 
 private const val READY_POLL_MILLIS: Long = 20
 private const val SERVER_GRACE_MILLIS: Long = 500
-private const val IDLE_POLL_MILLIS: Long = 50
