--- a/proof/src/main/kotlin/pistachiopass/proof/harness/ControlClient.kt
+++ b/proof/src/main/kotlin/pistachiopass/proof/harness/ControlClient.kt
@@ -31,7 +31,10 @@
             .method(method, HttpRequest.BodyPublishers.ofString(body))
             .build()
         return try {
-            client.send(request, BodyHandlers.ofString()).takeIf { HttpStatusCode.fromValue(it.statusCode()).isSuccess() }?.body()
+            client.send(
+                request,
+                BodyHandlers.ofString()
+            ).takeIf { HttpStatusCode.fromValue(it.statusCode()).isSuccess() }?.body()
         } catch (_: IOException) {
             null
         }
--- a/proof/src/main/kotlin/pistachiopass/proof/harness/Fleet.kt
+++ b/proof/src/main/kotlin/pistachiopass/proof/harness/Fleet.kt
@@ -27,7 +27,9 @@
     private val starter = ProcessStarter(layout, directory)
     private val platform = starter.startPlatform()
     private val endpoints: Map<EndpointId, ManagedProcess> =
-        layout.engines.associate { it.id to starter.startEngine(it) } + layout.plains.associate { it.id to starter.startPlain(it) }
+        layout.engines.associate {
+            it.id to starter.startEngine(it)
+        } + layout.plains.associate { it.id to starter.startPlain(it) }
     private val instances: Map<InstanceId, ManagedProcess> =
         layout.instances.instances.associate { it.id to starter.startInstance(it) }
 
--- a/proof/src/main/kotlin/pistachiopass/proof/matrix/Traffic.kt
+++ b/proof/src/main/kotlin/pistachiopass/proof/matrix/Traffic.kt
@@ -81,7 +81,6 @@
     }
 
     private fun nextId(prefix: String): String = "$prefix-${number.incrementAndGet()}"
-
 }
 
 private const val SMALL_PROMPT_TOKENS: Int = 100
