Join endpoints' records with requests by prompt length and body hash

Cause: lease ids hold no request id. Ruled out: a join by ids; the daemon's events name no lease. Change: each question of a run has its own prompt length, and the collector joins by it, and bookings by the hash of their body.

--- a/proof/src/main/kotlin/pistachiopass/proof/harness/Callers.kt
+++ b/proof/src/main/kotlin/pistachiopass/proof/harness/Callers.kt
@@ -28,10 +28,13 @@
 import pistachiopass.model.VERDICT_HEADER
 import pistachiopass.model.Verdict
 import pistachiopass.model.WORKSPACE_HEADER
+import pistachiopass.proof.history.BodyHash
 import pistachiopass.proof.history.ConnectionBroken
 import pistachiopass.proof.history.HistoryEvent
+import pistachiopass.proof.history.PromptLength
 import pistachiopass.proof.history.Recorder
 import pistachiopass.proof.history.RequestAnswered
+import pistachiopass.proof.history.RequestContent
 import pistachiopass.proof.history.RequestRefused
 import pistachiopass.proof.history.RequestSent
 import java.security.MessageDigest
@@ -52,14 +55,14 @@
 
     /** Sends [question] to [instance] and returns how it ended, or null if it did not end long after its deadline. */
     public suspend fun ask(question: Question, instance: Instance): HistoryEvent? =
-        send(Post(question.id, instance, CHAT_PATH, body(question), question.workspace), MODEL_TIMEOUT_MILLIS) {
+        send(postOf(question, instance), MODEL_TIMEOUT_MILLIS) {
             val channel = it.bodyAsChannel()
             TokenReader(question, recorder).read { channel.readLine() }
         }
 
     /** Sends one attempt at the booking [booking] with [key] and returns how it ended, as [ask] does. */
     public suspend fun book(id: RequestId, booking: String, key: String?, instance: Instance): HistoryEvent? {
-        val post = Post(id, instance, "/pickups", bookingBody(booking), key = key)
+        val post = Post(id, instance, "/pickups", bookingBody(booking), key = key, content = BodyHash(bookingHash(booking)))
         return send(post, BOOKING_TIMEOUT_MILLIS) { response ->
             val run = CONTROL_JSON.decodeFromString<PlainAnswer>(response.bodyAsText()).run
             val answered = if (run.bodyHash == bookingHash(booking)) id else RequestId(run.requestId ?: "none")
@@ -74,7 +77,7 @@
         limitMillis: Long,
         onAnswer: suspend (HttpResponse) -> HistoryEvent,
     ): HistoryEvent? {
-        recorder.record { RequestSent(it, post.id, post.instance.id, it + limitMillis) }
+        recorder.record { RequestSent(it, post.id, post.instance.id, it + limitMillis, post.content) }
         return withTimeoutOrNull(limitMillis + GIVE_UP_MILLIS) {
             try {
                 client.preparePost("http://${post.instance.httpAddress}${post.path}") {
@@ -105,8 +108,14 @@
     val body: String,
     val workspace: String = "w",
     val key: String? = null,
+    val content: RequestContent? = null,
 )
 
+private fun postOf(question: Question, instance: Instance): Post {
+    val length = PromptLength(question.promptTokens)
+    return Post(question.id, instance, CHAT_PATH, body(question), question.workspace, content = length)
+}
+
 /** Returns the value that identifies a booking in the record of a plain service. */
 public fun bookingHash(booking: String): String =
     HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(bookingBody(booking).encodeToByteArray()))
--- a/proof/src/main/kotlin/pistachiopass/proof/harness/Collector.kt
+++ b/proof/src/main/kotlin/pistachiopass/proof/harness/Collector.kt
@@ -9,10 +9,14 @@
 import kotlinx.serialization.Serializable
 import pistachiopass.model.Endpoint
 import pistachiopass.model.RequestId
+import pistachiopass.proof.history.BodyHash
 import pistachiopass.proof.history.EndpointWork
 import pistachiopass.proof.history.MemorySampled
+import pistachiopass.proof.history.PromptLength
 import pistachiopass.proof.history.Recorder
+import pistachiopass.proof.history.RequestContent
 import pistachiopass.proof.history.RequestRun
+import pistachiopass.proof.history.RequestSent
 import pistachiopass.proof.history.TableInForce
 import pistachiopass.standins.plain.RunReport
 import pistachiopass.standins.plain.RunsReport
@@ -46,6 +50,10 @@
         runs.values.forEach { run -> recorder.record { run } }
     }
 
+    /** Returns the last request that was sent with [content], or else the id that the endpoint knows. */
+    private fun requestOf(content: RequestContent, endpointId: String): RequestId =
+        recorder.history().all<RequestSent>().lastOrNull { it.content == content }?.request ?: RequestId(endpointId)
+
     private suspend fun repeatSampling(sample: suspend () -> Unit) {
         while (true) {
             sample()
@@ -67,20 +75,22 @@
         suspend fun sample() {
             val startMillis = recorder.nowMillis()
             val record = fleet.control.getOrNull<EngineRecord>(engine.address, "/admin/record") ?: return
-            record.requests.filter { it.outcome != REFUSED }.forEach(::addRun)
-            fleet.control.getOrNull<EngineLoad>(engine.address, "/v1/load")?.let { addMemory(record, it) }
+            val callerIds = record.requests.associate { it.id to requestOf(PromptLength(it.promptTokens), it.id) }
+            record.requests.filter { it.outcome != REFUSED }.forEach { addRun(it, callerIds.getValue(it.id)) }
+            fleet.control.getOrNull<EngineLoad>(engine.address, "/v1/load")?.let { load ->
+                addMemory(record, load.requests.mapNotNull { callerIds[it.id] }.toSet())
+            }
             lastMillis = startMillis
         }
 
-        private fun addRun(request: EngineRequest) {
-            val id = callerIdOf(request.id)
+        private fun addRun(request: EngineRequest, id: RequestId) {
             val run = RequestRun(lastMillis, engine.id, id, stream = request.streamId)
             if (runs.putIfAbsent("${engine.id}/${request.streamId}", run) == null) {
                 recorder.record { EndpointWork(run.atMillis, engine.id, engine.dataCentre, id) }
             }
         }
 
-        private fun addMemory(record: EngineRecord, load: EngineLoad): Unit = recorder.record { atMillis ->
+        private fun addMemory(record: EngineRecord, held: Set<RequestId>): Unit = recorder.record { atMillis ->
             MemorySampled(
                 atMillis,
                 engine.id,
@@ -88,7 +98,7 @@
                 record.maxUsedTokens,
                 record.maxColdTokens,
                 record.maxColdRequests,
-                load.requests.map { callerIdOf(it.id) }.toSet(),
+                held,
             )
         }
     }
@@ -108,18 +118,16 @@
         }
 
         private fun addRun(report: RunReport) {
-            val id = callerIdOf(report.requestId.orEmpty())
+            val key = "${plain.id}/$life/${report.requestId}/${report.bodyHash}"
+            val id = runs[key]?.request ?: requestOf(BodyHash(report.bodyHash), report.requestId.orEmpty())
             val run = RequestRun(lastMillis, plain.id, id, booking = report.bodyHash, count = report.count)
-            if (runs.put("${plain.id}/$life/${report.requestId}/${report.bodyHash}", run) == null) {
+            if (runs.put(key, run) == null) {
                 recorder.record { EndpointWork(run.atMillis, plain.id, plain.dataCentre, id) }
             }
         }
     }
 }
 
-/** Returns the caller's request id; endpoints may see it with a suffix for each attempt. */
-private fun callerIdOf(id: String): RequestId = RequestId(id.takeWhile { it.isLetterOrDigit() || it == '-' })
-
 @Serializable
 internal data class EngineRecord(
     val requests: List<EngineRequest>,
@@ -129,7 +137,10 @@
 )
 
 @Serializable
-internal data class EngineRequest(val id: String, val streamId: String? = null, val outcome: String = "")
+internal data class EngineRequest(
+    val id: String,
+    val promptTokens: Int = 0,
+    val streamId: String? = null, val outcome: String = "")
 
 @Serializable
 internal data class EngineLoad(val requests: List<EngineRequest>)
--- a/proof/src/main/kotlin/pistachiopass/proof/history/HistoryEvent.kt
+++ b/proof/src/main/kotlin/pistachiopass/proof/history/HistoryEvent.kt
@@ -27,8 +27,19 @@
     val instance: InstanceId,
     /** Time by which the route promises the end. */
     val deadlineMillis: Long,
+    /** What joins the request with the records of endpoints, which know it by ids of their own. */
+    val content: RequestContent? = null,
 ) : HistoryEvent
 
+/** The content by which an endpoint's record is joined with a request. */
+public sealed interface RequestContent
+
+/** The length of a prompt, which no other request of the run has. */
+public data class PromptLength(val tokens: Int) : RequestContent
+
+/** The hash of a booking's body. */
+public data class BodyHash(val text: String) : RequestContent
+
 /** A caller received one token of an answer; stream and offset are those in the token's text. */
 public data class ChunkReceived(
     override val atMillis: Long,
--- a/proof/src/main/kotlin/pistachiopass/proof/matrix/Probe.kt
+++ b/proof/src/main/kotlin/pistachiopass/proof/matrix/Probe.kt
@@ -24,7 +24,7 @@
 ) {
     /** Sends a small question in the probe's workspace and returns the engine that got it. */
     suspend fun engineOfProbe(instance: Instance): Endpoint {
-        val question = Question(RequestId("first"), PROBE_PROMPT_TOKENS, 1, PROBE_WORKSPACE)
+        val question = Question(RequestId("first"), PROBE_PROMPT_TOKENS + 1, 1, PROBE_WORKSPACE)
         callers.ask(question, instance)
         val work = awaitValue { work(question.id) }
         return fleet.layout.engines.first { it.id == work?.endpoint }
--- a/proof/src/main/kotlin/pistachiopass/proof/matrix/Traffic.kt
+++ b/proof/src/main/kotlin/pistachiopass/proof/matrix/Traffic.kt
@@ -64,7 +64,10 @@
     }
 
     private suspend fun ask(instance: Instance): HistoryEvent? =
-        callers.ask(Question(RequestId(nextId("q")), SMALL_PROMPT_TOKENS, SMALL_ANSWER_TOKENS), instance)
+        number.incrementAndGet().let {
+            val promptTokens = SMALL_PROMPT_TOKENS + it
+            callers.ask(Question(RequestId("q-$it"), promptTokens, SMALL_ANSWER_TOKENS), instance)
+        }
 
     /** Books as an honest caller does: after "not run" again, after "may have run" again with the same key only. */
     private suspend fun book(booking: String, instance: Instance) {
