Stop in order: no second hook of the server library, and wait for the last refusal

Ktor's servers install their own shutdown hook, which stopped them at once with the daemon's ordered stop; and the count of running requests ended before a refusal had been written, so that the server closed under it. Ruled out: the move of the ledger (its steps were logged as done) and the relay (holds without the hook). Change: the library's hook is off; requests are counted until the last byte of their reply; the instance serves on for 1 s after readiness is down and waits 0.5 s for requests on their way at the end.

--- a/entry/src/main/kotlin/pistachiopass/entry/Daemon.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/Daemon.kt
@@ -26,6 +26,7 @@
 import pistachiopass.entry.filter.StopFilter
 import pistachiopass.entry.filter.retryBudgetOf
 import pistachiopass.entry.http.AdminSource
+import pistachiopass.entry.http.RunningRequests
 import pistachiopass.entry.http.callerServerOf
 import pistachiopass.entry.http.endingIn
 import pistachiopass.entry.http.serveAdmin
@@ -85,6 +86,7 @@
         scope,
     )
     private val stopFilter = StopFilter()
+    private val running = RunningRequests()
     private val servers = listOf(callerServer(), adminServer())
 
     @Volatile
@@ -106,7 +108,7 @@
     public suspend fun stop() {
         stopping = true
         log(Event.STOP_BEGUN)
-        GracefulStop(stopFilter, bookings, limits.stopMillis).run()
+        GracefulStop(stopFilter, running, bookings, limits.stopMillis).run()
         servers.forEach { it.stopSuspend(SERVER_GRACE_MILLIS, SERVER_GRACE_MILLIS) }
         network.close()
         scope.cancel()
@@ -129,7 +131,7 @@
         val handler = filters.endingIn(
             ForwardHandler(allocator, client, relay, breaker) { tables.state.value.pools?.value },
         )
-        return callerServerOf(settings) { serveCallers(handler, limits.streamBufferBytes) }
+        return callerServerOf(settings) { serveCallers(handler, limits.streamBufferBytes, running) }
     }
 
     private fun adminServer(): EmbeddedServer<*, *> {
--- a/entry/src/main/kotlin/pistachiopass/entry/GracefulStop.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/GracefulStop.kt
@@ -5,42 +5,58 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import pistachiopass.booking.Bookings
 import pistachiopass.entry.filter.StopFilter
+import pistachiopass.entry.http.RunningRequests
 import pistachiopass.entry.logging.Event
 import pistachiopass.entry.logging.EventLog
 import pistachiopass.entry.logging.field
 import pistachiopass.entry.logging.log
 import pistachiopass.entry.logging.tokenField
+import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.TimeSource
 
 /** Ends the work of an instance within [stopMillis]. */
 internal class GracefulStop(
     private val stopFilter: StopFilter,
+    private val running: RunningRequests,
     private val bookings: Bookings,
     private val stopMillis: Long,
     private val clock: TimeSource.WithComparableMarks = TimeSource.Monotonic,
 ) {
-    /** Refuses new requests, waits for those that run, then seals the ledger and moves it. */
+    /**
+     * Serves on until the balancer has noticed, refuses new requests, waits for those that run, then seals the ledger
+     * and moves it, and waits for the last refusals to be delivered.
+     */
     suspend fun run() {
         val moveMillis = minOf(MAX_MOVE_MILLIS, stopMillis / MOVE_SHARE)
         val drainEnd = clock.markNow() + (stopMillis - moveMillis).milliseconds
+        delay(minOf(NOTICE_MILLIS, stopMillis / MOVE_SHARE))
         stopFilter.close()
-        val isDrained = withTimeoutOrNull(stopMillis - moveMillis) { awaitIdle() } != null
+        val isDrained = withTimeoutOrNull(remainingMillis(drainEnd)) { awaitIdle() } != null
         if (isDrained) logStep("requests") else logTimeout()
-        val remainingMillis = (-drainEnd.elapsedNow().inWholeMilliseconds).coerceAtLeast(0)
-        bookings.stop(remainingMillis, moveMillis)
+        bookings.stop(remainingMillis(drainEnd), moveMillis)
         logStep("ledger")
+        delay(QUIET_MILLIS)
+        withTimeoutOrNull(QUIET_MILLIS) { awaitIdle() }
     }
 
+    private fun remainingMillis(end: ComparableTimeMark): Long =
+        (-end.elapsedNow().inWholeMilliseconds).coerceAtLeast(0)
+
     private suspend fun awaitIdle() {
-        while (stopFilter.runningRequests > 0) delay(IDLE_POLL_MILLIS)
+        while (running.count > 0) delay(IDLE_POLL_MILLIS)
     }
 
-    private fun logTimeout(): Unit = EventLog.log(Event.STOP_TIMED_OUT, field("running", stopFilter.runningRequests))
+    private fun logTimeout(): Unit = EventLog.log(Event.STOP_TIMED_OUT, field("running", running.count))
 
     private fun logStep(name: String): Unit = EventLog.log(Event.STOP_STEP, tokenField("step", name))
 }
 
+/** Time for the balancer to see that the instance is not ready, during which requests are still served. */
+private const val NOTICE_MILLIS: Long = 1_000
+
+/** Time for requests that were on their way when the last one ended. */
+private const val QUIET_MILLIS: Long = 500
 private const val MAX_MOVE_MILLIS: Long = 10_000
 private const val MOVE_SHARE: Long = 4
 private const val IDLE_POLL_MILLIS: Long = 50
--- a/entry/src/main/kotlin/pistachiopass/entry/Main.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/Main.kt
@@ -30,6 +30,7 @@
 }
 
 private fun run(settings: Settings): Unit = runBlocking {
+    System.setProperty(KTOR_SHUTDOWN_HOOK, "false")
     val daemon = Daemon(settings)
     val stopped = CompletableDeferred<Unit>()
     val stop = Thread {
@@ -57,4 +58,6 @@
 /** Version of the workspace. */
 public const val VERSION: String = "0.1.0"
 
+/** Property by which Ktor's servers stop themselves on SIGTERM, at once with the daemon's own ordered stop. */
+private const val KTOR_SHUTDOWN_HOOK: String = "io.ktor.server.engine.ShutdownHook"
 private const val EXIT_BAD_SETTINGS: Int = 2
--- a/entry/src/main/kotlin/pistachiopass/entry/filter/StopFilter.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/filter/StopFilter.kt
@@ -8,31 +8,19 @@
 import pistachiopass.entry.http.RequestContext
 import pistachiopass.model.Failure
 import pistachiopass.model.FailureCode
-import java.util.concurrent.atomic.AtomicInteger
 
-/** Counts running requests and refuses new ones after [close]. */
+/** Refuses new requests after [close]. */
 public class StopFilter : Filter {
-    private val running: AtomicInteger = AtomicInteger()
-
     @Volatile
     private var closed: Boolean = false
 
-    /** Requests that have not ended yet. */
-    public val runningRequests: Int get() = running.get()
-
     /** Refuses all later requests. */
     public fun close() {
         closed = true
     }
 
-    override suspend fun filter(context: RequestContext, next: Handler): Result<Completion, Failure> {
-        running.incrementAndGet()
-        return try {
-            if (closed) refusal() else next.handle(context)
-        } finally {
-            running.decrementAndGet()
-        }
-    }
+    override suspend fun filter(context: RequestContext, next: Handler): Result<Completion, Failure> =
+        if (closed) refusal() else next.handle(context)
 
     private fun refusal(): Result<Completion, Failure> =
         notRun(
--- a/entry/src/main/kotlin/pistachiopass/entry/http/CallerServer.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/http/CallerServer.kt
@@ -46,6 +46,7 @@
 public fun Application.serveCallers(
     handler: Handler,
     windowBytes: Int,
+    running: RunningRequests = RunningRequests(),
     timeSource: TimeSource.WithComparableMarks = TimeSource.Monotonic,
     log: EventLog = EventLog,
 ) {
@@ -53,9 +54,11 @@
     routing {
         route("{path...}") {
             handle {
-                val exchange = call.exchange(timeSource, windowBytes)
-                val outcome = handler.handle(RequestContext(exchange))
-                finish(exchange, outcome, log)
+                running.track {
+                    val exchange = call.exchange(timeSource, windowBytes)
+                    val outcome = handler.handle(RequestContext(exchange))
+                    finish(exchange, outcome, log)
+                }
             }
         }
     }
--- a/proof/src/main/kotlin/pistachiopass/proof/harness/Callers.kt
+++ b/proof/src/main/kotlin/pistachiopass/proof/harness/Callers.kt
@@ -62,7 +62,8 @@
 
     /** Sends one attempt at the booking [booking] with [key] and returns how it ended, as [ask] does. */
     public suspend fun book(id: RequestId, booking: String, key: String?, instance: Instance): HistoryEvent? {
-        val post = Post(id, instance, "/pickups", bookingBody(booking), key = key, content = BodyHash(bookingHash(booking)))
+        val post =
+            Post(id, instance, "/pickups", bookingBody(booking), key = key, content = BodyHash(bookingHash(booking)))
         return send(post, BOOKING_TIMEOUT_MILLIS) { response ->
             val run = CONTROL_JSON.decodeFromString<PlainAnswer>(response.bodyAsText()).run
             val answered = if (run.bodyHash == bookingHash(booking)) id else RequestId(run.requestId ?: "none")
--- a/proof/src/main/kotlin/pistachiopass/proof/harness/Collector.kt
+++ b/proof/src/main/kotlin/pistachiopass/proof/harness/Collector.kt
@@ -140,7 +140,9 @@
 internal data class EngineRequest(
     val id: String,
     val promptTokens: Int = 0,
-    val streamId: String? = null, val outcome: String = "")
+    val streamId: String? = null,
+    val outcome: String = ""
+)
 
 @Serializable
 internal data class EngineLoad(val requests: List<EngineRequest>)
