--- a/coordination/src/main/kotlin/pistachiopass/queue/FairQueue.kt
+++ b/coordination/src/main/kotlin/pistachiopass/queue/FairQueue.kt
@@ -92,7 +92,9 @@
     private fun refusalOrNull(waiting: Waiting): Refusal? {
         val tokensAhead = tokensAhead(waiting)
         val predictedMillis = forecast.firstTokenMillis(waiting.promptTokens, tokensAhead)
-        val lateMillis = nowMillis() + predictedMillis - waiting.startByMillis
+        val startInMillis = forecast.firstTokenMillis(promptTokens = 0, tokensAhead)
+        val lateMillis = nowMillis() +
+            maxOf(predictedMillis - waiting.firstTokenByMillis, startInMillis - waiting.untilMillis)
         val freePlaces = limits.requests - requests.size
         return when {
             lateMillis > 0 ->
--- a/coordination/src/test/kotlin/pistachiopass/queue/FairQueueTest.kt
+++ b/coordination/src/test/kotlin/pistachiopass/queue/FairQueueTest.kt
@@ -46,6 +46,14 @@
         assertNull(queue.offer(waiting("b", firstTokenByMillis = 2_500)))
     }
 
+    @Test
+    fun `the prefill of a prompt does not count against its wait`() {
+        val queue = admissionQueueOf({ 0 }, { budget }, { prompt, ahead -> (prompt + ahead) / 10 }, QueueLimits(16))
+        val long = waiting("long", promptTokens = 250_000).copy(untilMillis = 2_000, firstTokenByMillis = 60_000)
+        assertNull(queue.offer(long))
+        assertEquals(RefusalReason.TOO_LATE, queue.offer(long.copy(RequestId("late"), firstTokenByMillis = 1))?.reason)
+    }
+
     @Test
     fun `a workspace that floods leaves places to the others`() {
         val refusals = (0..<20).map { queue.offer(waiting("f$it", "flood"))?.reason }
