--- a/entry/src/main/kotlin/pistachiopass/entry/endpoint/EndpointClient.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/endpoint/EndpointClient.kt
@@ -19,6 +19,7 @@
 import io.ktor.client.statement.bodyAsText
 import io.ktor.http.HttpHeaders
 import io.ktor.http.HttpStatusCode
+import io.ktor.http.encodeURLPathPart
 import io.ktor.http.isSuccess
 import kotlinx.coroutines.ensureActive
 import kotlinx.io.IOException
@@ -82,7 +83,8 @@
     /** Cancels a request and returns whether the endpoint confirmed that it holds nothing for it any more. */
     public suspend fun cancel(endpoint: Endpoint, request: RequestId): Boolean =
         try {
-            val response = client.delete("http://${endpoint.address}/v1/requests/$request") {
+            val id = request.value.encodeURLPathPart()
+            val response = client.delete("http://${endpoint.address}/v1/requests/$id") {
                 timeout { requestTimeoutMillis = LOAD_TIMEOUT_MILLIS }
             }
             response.status.isSuccess() || response.status == HttpStatusCode.NotFound
--- a/entry/src/main/kotlin/pistachiopass/entry/http/CallerServer.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/http/CallerServer.kt
@@ -91,7 +91,7 @@
 
 private fun newRequestId(): String = UUID.randomUUID().toString()
 
-private fun String.isWellFormedId(): Boolean = length in 1..MAX_ID_CHARS && all { it.isLetterOrDigit() || it in "-_." }
+private fun String.isWellFormedId(): Boolean = matches(WELL_FORMED_ID)
 
 private class StreamContent(
     override val status: HttpStatusCode,
@@ -150,4 +150,4 @@
 }
 
 private const val NO_WORKSPACE: String = "default"
-private const val MAX_ID_CHARS: Int = 128
+private val WELL_FORMED_ID: Regex = Regex("[A-Za-z0-9_.:@#\\[\\]-]{1,128}")
