--- a/coordination/src/main/kotlin/pistachiopass/peer/PeerMessage.kt
+++ b/coordination/src/main/kotlin/pistachiopass/peer/PeerMessage.kt
@@ -28,21 +28,8 @@
     public fun encode(value: T): PeerMessage = PeerMessage(name, PeerCbor.encodeToByteArray(serializer, value))
 
     /** Returns the value that [message] holds, or null when it is of another type or malformed. */
-    @OptIn(ExperimentalSerializationApi::class)
-    public fun decodeOrNull(message: PeerMessage): T? {
-        if (message.typeName != name) return null
-        return try {
-            PeerCbor.decodeFromByteArray(serializer, message.payload)
-        } catch (_: SerializationException) {
-            null
-        } catch (_: IllegalArgumentException) {
-            null
-        } catch (_: IllegalStateException) {
-            null
-        } catch (_: IndexOutOfBoundsException) {
-            null
-        }
-    }
+    public fun decodeOrNull(message: PeerMessage): T? =
+        if (message.typeName == name) decodePeerCborOrNull(serializer, message.payload) else null
 
     override fun toString(): String = name
 }
@@ -62,3 +49,18 @@
     ignoreUnknownKeys = true
     alwaysUseByteString = true
 }
+
+/** Returns the value that [bytes] hold in [PeerCbor], or null when they are malformed in any way. */
+@OptIn(ExperimentalSerializationApi::class)
+public fun <T> decodePeerCborOrNull(serializer: KSerializer<T>, bytes: ByteArray): T? =
+    try {
+        PeerCbor.decodeFromByteArray(serializer, bytes)
+    } catch (_: SerializationException) {
+        null
+    } catch (_: IllegalArgumentException) {
+        null
+    } catch (_: IllegalStateException) {
+        null
+    } catch (_: IndexOutOfBoundsException) {
+        null
+    }
--- a/entry/src/main/kotlin/pistachiopass/entry/peer/Frame.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/peer/Frame.kt
@@ -2,13 +2,12 @@
 package pistachiopass.entry.peer
 
 import kotlinx.serialization.ExperimentalSerializationApi
-import kotlinx.serialization.KSerializer
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
-import kotlinx.serialization.SerializationException
 import pistachiopass.model.StartId
 import pistachiopass.peer.PeerCbor
 import pistachiopass.peer.PeerFailureCode
+import pistachiopass.peer.decodePeerCborOrNull
 
 /** One unit of the protocol. */
 @Serializable
@@ -59,18 +58,4 @@
 internal fun encodeFrame(frame: Frame): ByteArray = PeerCbor.encodeToByteArray(Frame.serializer(), frame)
 
 /** Returns the frame that [body] holds, or null when it is malformed. */
-internal fun decodeFrameOrNull(body: ByteArray): Frame? = decodeCborOrNull(Frame.serializer(), body)
-
-/** Returns the value that [body] holds, or null when it is malformed in any way. */
-@OptIn(ExperimentalSerializationApi::class)
-internal fun <T> decodeCborOrNull(serializer: KSerializer<T>, body: ByteArray): T? = try {
-    PeerCbor.decodeFromByteArray(serializer, body)
-} catch (_: SerializationException) {
-    null
-} catch (_: IllegalArgumentException) {
-    null
-} catch (_: IllegalStateException) {
-    null
-} catch (_: IndexOutOfBoundsException) {
-    null
-}
+internal fun decodeFrameOrNull(body: ByteArray): Frame? = decodePeerCborOrNull(Frame.serializer(), body)
--- a/entry/src/main/kotlin/pistachiopass/entry/peer/Handshake.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/peer/Handshake.kt
@@ -21,6 +21,7 @@
 import pistachiopass.peer.LifeRegistry
 import pistachiopass.peer.PeerCbor
 import pistachiopass.peer.PeerIdentity
+import pistachiopass.peer.decodePeerCborOrNull
 import pistachiopass.peer.isOrdered
 import java.security.MessageDigest
 import java.security.SecureRandom
@@ -165,7 +166,7 @@
     }
 
     private fun parseHello(bytes: ByteArray): Result<Pair<PeerIdentity, ByteArray>, HandshakeError> {
-        val hello = decodeCborOrNull(Hello.serializer(), bytes)
+        val hello = decodePeerCborOrNull(Hello.serializer(), bytes)
         return when {
             hello == null || hello.nonce.size != NONCE_BYTES -> Err(HandshakeError.MALFORMED)
             hello.version != PROTOCOL_VERSION -> Err(HandshakeError.OTHER_VERSION)
