Serve the users' platform: a thin whole path on one event loop

Many short prompts are late by pauses and one engine gets twice the mean load: instances know nothing of each other's work yet.

--- /dev/null
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/Gateway.kt
@@ -0,0 +1,182 @@
+/** One instance on a platform that publishes its state in a store: joins servers, beliefs, forwarding and peers. */
+package pistachiopass.gateway
+
+import io.netty.channel.Channel
+import io.netty.channel.EventLoop
+import io.netty.channel.EventLoopGroup
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.nio.NioIoHandler
+import kotlinx.coroutines.CoroutineExceptionHandler
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Deferred
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.asCoroutineDispatcher
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withContext
+import pistachiopass.entry.logging.Event
+import pistachiopass.entry.logging.EventLog
+import pistachiopass.entry.logging.field
+import pistachiopass.entry.logging.log
+import pistachiopass.gateway.forward.ColdBudget
+import pistachiopass.gateway.forward.Forwarder
+import pistachiopass.gateway.forward.RepeatBudget
+import pistachiopass.gateway.forward.Reservations
+import pistachiopass.gateway.forward.Sender
+import pistachiopass.gateway.forward.SenderParts
+import pistachiopass.gateway.forward.admissionOf
+import pistachiopass.gateway.http.CallerConnections
+import pistachiopass.gateway.http.CallerContext
+import pistachiopass.gateway.http.HttpCaller
+import pistachiopass.gateway.http.UpstreamPool
+import pistachiopass.gateway.http.listen
+import pistachiopass.gateway.http.serveCallers
+import pistachiopass.gateway.model.Address
+import pistachiopass.gateway.model.CallerLimits
+import pistachiopass.gateway.model.Incarnation
+import pistachiopass.gateway.model.addressOrNull
+import pistachiopass.gateway.placement.EndpointHealth
+import pistachiopass.gateway.placement.FleetLoad
+import pistachiopass.gateway.placement.Placement
+import pistachiopass.gateway.settings.GatewaySettings
+import pistachiopass.gateway.state.StateWatch
+import pistachiopass.gateway.state.ageClockOf
+import pistachiopass.gateway.state.beliefsOf
+
+/** Makes the parts of a platform's adapter, which call out through the HTTP client that they are given. */
+public interface PlatformAdapter {
+    public val wire: WireFormat
+
+    /** Returns the reader of published state at [store]. */
+    public fun stateSource(caller: HttpCaller, store: Address): StateSource
+
+    /** Returns the giver of orders to endpoints. */
+    public fun endpointOrders(caller: HttpCaller): EndpointOrders
+}
+
+/** Runs one instance from [start] to [stop]. All its state is confined to one event loop. */
+public class Gateway internal constructor(private val settings: GatewaySettings, adapter: PlatformAdapter) {
+    private val group: EventLoopGroup = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
+    private val eventLoop: EventLoop = group.next()
+    private val failures = CoroutineExceptionHandler { _, error -> EventLog.log(Event.INTERNAL_ERROR, field("error", error)) }
+    private val scope = CoroutineScope(SupervisorJob() + eventLoop.asCoroutineDispatcher() + failures)
+    private val clock = ageClockOf()
+    private val beliefs = beliefsOf(clock)
+    private val caller = HttpCaller(UpstreamPool(eventLoop, clock))
+    private val source = adapter.stateSource(HttpCaller(UpstreamPool(eventLoop, clock)), addressOf(settings.storeAddress))
+    private val pool = UpstreamPool<Incarnation>(eventLoop, clock)
+    private val health = EndpointHealth(::steadyMillis, EventLog)
+    private val load = FleetLoad(::steadyMillis)
+    private val connections = CallerConnections()
+    private val admission = admissionOf(beliefs, settings.bounds.revokeMillis.toLong())
+    private val wire = adapter.wire
+    private val forwarder = forwarder(adapter)
+    private var isStopping = false
+    private var listeners: List<Channel> = emptyList()
+
+    /** Starts to serve and returns once the instance is ready or [stopAsked]. */
+    public suspend fun start(stopAsked: Deferred<Unit>): Unit = withContext(scope.coroutineContext) {
+        EventLog.log(Event.START, field("instance", settings.instance), field("dataCentre", settings.dataCentre))
+        val callers = CallerContext(scope, forwarder, ::callerLimits, connections)
+        val probes = CallerContext(scope, ReadinessHandler(wire.readyPath, ::isReady), { DEFAULT_LIMITS }, CallerConnections())
+        listeners = listOf(
+            listen(group, addressOf(settings.callerAddress)) { serveCallers(it, callers) },
+            listen(group, addressOf(settings.readyAddress)) { serveCallers(it, probes) },
+        )
+        scope.launch { StateWatch(source, beliefs, clock).run() }
+        scope.launch { housekeeping() }
+        while (!isReady() && !stopAsked.isCompleted) delay(READY_POLL_MILLIS)
+        EventLog.log(Event.READY, field("instance", settings.instance))
+    }
+
+    /** Serves on until the balancer has noticed, then ends the running requests within the time of grace. */
+    public suspend fun stop(): Unit = withContext(scope.coroutineContext) {
+        val deadlineMillis = steadyMillis() + (settings.bounds.graceSeconds * MILLIS_PER_SECOND).toLong() - STOP_MARGIN_MILLIS
+        isStopping = true
+        connections.isClosing = true
+        EventLog.log(Event.STOP_BEGUN, field("connections", connections.size))
+        delay(BALANCER_MILLIS)
+        while (connections.size > 0 && steadyMillis() < deadlineMillis) {
+            connections.closeIdle()
+            delay(STOP_POLL_MILLIS)
+        }
+        EventLog.log(
+            if (connections.isBusy) Event.STOP_TIMED_OUT else Event.STOP_DONE,
+            field("connections", connections.size),
+        )
+        listeners.forEach { it.close() }
+    }
+
+    private fun isReady(): Boolean =
+        !isStopping && beliefs.table != null && beliefs.isProvedWithin(READY_PROOF_MILLIS)
+
+    private fun callerLimits(): CallerLimits = beliefs.table?.limits ?: DEFAULT_LIMITS
+
+    private fun forwarder(adapter: PlatformAdapter): Forwarder {
+        val instances = { INSTANCES_ASSUMED }
+        val parts = SenderParts(
+            wire,
+            beliefs,
+            admission,
+            ColdBudget(settings.bounds, instances, clock::nowMillis),
+            load,
+            health,
+            clock,
+            hints = { },
+            Reservations(adapter.endpointOrders(caller), settings.bounds.holdMaxMillis.toLong(), scope),
+        )
+        val repeats = RepeatBudget(settings.bounds, instances, clock::nowMillis)
+        return Forwarder(
+            wire,
+            beliefs,
+            admission,
+            Placement(load, health, ::steadyMillis),
+            repeats,
+            Sender(pool, parts),
+        )
+    }
+
+    private suspend fun housekeeping() {
+        while (true) {
+            delay(HOUSEKEEPING_MILLIS)
+            beliefs.expireMissing()
+            val known = beliefs.allEndpoints().mapTo(HashSet()) { it.published.incarnation }
+            pool.trim(known::contains)
+            health.trim(known::contains)
+            load.trim(known::contains)
+            connections.closeSilent(System.nanoTime(), callerLimits())
+        }
+    }
+}
+
+/** Returns an instance with [settings] on the platform that [adapter] speaks to. */
+public fun gatewayOf(settings: GatewaySettings, adapter: PlatformAdapter): Gateway = Gateway(settings, adapter)
+
+internal fun steadyMillis(): Long = System.nanoTime() / NANOS_PER_MILLI
+
+private fun addressOf(text: String): Address = requireNotNull(addressOrNull(text)) { "$text is not host:port" }
+
+/** Bounds on callers while no configuration is known. */
+private val DEFAULT_LIMITS = CallerLimits(
+    headBytes = 16 * 1024,
+    bodyBytes = 4 * 1024 * 1024,
+    headTimeoutMillis = 3_000,
+    idleTimeoutMillis = 15_000,
+)
+
+/** Instances among which limits summed over all are split. */
+private const val INSTANCES_ASSUMED: Int = 16
+
+/** Age of the proof up to which the instance is ready; two watches and a reconnection. */
+private const val READY_PROOF_MILLIS: Long = 3_500
+private const val READY_POLL_MILLIS: Long = 10
+private const val HOUSEKEEPING_MILLIS: Long = 250
+
+/** The balancer probes once a second and takes an instance out after two misses. */
+private const val BALANCER_MILLIS: Long = 2_500
+private const val STOP_POLL_MILLIS: Long = 50
+
+/** Time kept free at the end of the grace to exit. */
+private const val STOP_MARGIN_MILLIS: Long = 600
+private const val MILLIS_PER_SECOND: Double = 1_000.0
+private const val NANOS_PER_MILLI: Long = 1_000_000
--- /dev/null
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/ReadinessHandler.kt
@@ -0,0 +1,20 @@
+/** Answers the probe of the balancer. */
+package pistachiopass.gateway
+
+import io.netty.buffer.Unpooled
+import io.netty.handler.codec.http.DefaultHttpHeaders
+import io.netty.handler.codec.http.HttpResponseStatus
+import pistachiopass.gateway.http.CallerExchange
+import pistachiopass.gateway.http.CallerHandler
+
+/** Answers 200 at [path] while [isReady], 503 otherwise. */
+internal class ReadinessHandler(private val path: String, private val isReady: () -> Boolean) : CallerHandler {
+    override suspend fun serve(exchange: CallerExchange) {
+        val status = when {
+            exchange.request.uri().substringBefore('?') != path -> HttpResponseStatus.NOT_FOUND
+            isReady() -> HttpResponseStatus.OK
+            else -> HttpResponseStatus.SERVICE_UNAVAILABLE
+        }
+        exchange.answer(status.code(), DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER)
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/http/CallerConnection.kt
@@ -0,0 +1,261 @@
+/**
+ * One connection of a caller.
+ *
+ * Requests are read in full before they are served, one at a time; what a caller sends ahead waits. A request whose
+ * framing could be read in two ways is refused and its connection closed. Once the caller has closed the connection the
+ * request being served is cancelled.
+ */
+package pistachiopass.gateway.http
+
+import io.netty.buffer.ByteBuf
+import io.netty.buffer.CompositeByteBuf
+import io.netty.buffer.Unpooled
+import io.netty.channel.Channel
+import io.netty.channel.ChannelFutureListener
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.handler.codec.http.DefaultFullHttpResponse
+import io.netty.handler.codec.http.DefaultHttpContent
+import io.netty.handler.codec.http.DefaultHttpHeaders
+import io.netty.handler.codec.http.DefaultHttpResponse
+import io.netty.handler.codec.http.DefaultLastHttpContent
+import io.netty.handler.codec.http.HttpContent
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaderValues
+import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.HttpRequest
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.HttpVersion
+import io.netty.handler.codec.http.LastHttpContent
+import io.netty.handler.codec.http.TooLongHttpHeaderException
+import io.netty.handler.codec.http.TooLongHttpLineException
+import io.netty.util.ReferenceCountUtil
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.launch
+import pistachiopass.gateway.model.CallerLimits
+
+/** What all connections of callers share. */
+internal class CallerContext(
+    val scope: CoroutineScope,
+    val handler: CallerHandler,
+    val limits: () -> CallerLimits,
+    val connections: CallerConnections,
+)
+
+/** Reads requests from one channel and serves them in turn. */
+internal class CallerConnection(private val channel: Channel, private val context: CallerContext) :
+    ChannelInboundHandlerAdapter() {
+    private val waiting = ArrayDeque<ReadRequest>()
+    private var reading: ReadRequest? = null
+    private var serving: Job? = null
+    private var writable: CompletableDeferred<Unit>? = null
+    private var isRefused = false
+    private val bodyLimitBytes = context.limits().bodyBytes
+
+    /** Steady time of the last byte in either direction. */
+    var touchedNanos: Long = System.nanoTime()
+        private set
+
+    /** Steady time since which a request is being read, or null. */
+    val readingSinceNanos: Long? get() = reading?.arrivedNanos
+
+    /** Is true while no request is being read or served. */
+    val isIdle: Boolean get() = serving == null && reading == null && waiting.isEmpty()
+
+    override fun channelRead(context: ChannelHandlerContext, message: Any) {
+        touchedNanos = System.nanoTime()
+        try {
+            if (!isRefused) read(message)
+        } finally {
+            ReferenceCountUtil.release(message)
+        }
+    }
+
+    override fun channelWritabilityChanged(context: ChannelHandlerContext) {
+        if (channel.isWritable) writable?.complete(Unit)
+    }
+
+    override fun channelInactive(context: ChannelHandlerContext) {
+        this.context.connections.remove(this)
+        serving?.cancel()
+        reading?.body?.release()
+        waiting.forEach { it.body.release() }
+        waiting.clear()
+        reading = null
+    }
+
+    @Deprecated("inherited")
+    override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
+        channel.close()
+    }
+
+    /** Refuses the request that is being read because it takes too long. */
+    fun refuseSlow() {
+        refuse(HttpResponseStatus.REQUEST_TIMEOUT, "the request was not sent in time")
+    }
+
+    /** Closes the connection. */
+    fun close() {
+        channel.close()
+    }
+
+    private fun read(message: Any) {
+        if (message is HttpRequest) {
+            val problem = problemOf(message)
+            if (problem != null) {
+                refuse(problem.first, problem.second)
+                return
+            }
+            reading = ReadRequest(message, Unpooled.compositeBuffer(BODY_COMPONENTS), System.nanoTime())
+            if (HttpUtil.is100ContinueExpected(message)) sendContinue()
+        }
+        if (message is HttpContent) readContent(message)
+    }
+
+    private fun readContent(content: HttpContent) {
+        val current = reading ?: return
+        when {
+            content.decoderResult().isFailure -> refuse(HttpResponseStatus.BAD_REQUEST, "the body is malformed")
+            current.body.readableBytes() + content.content().readableBytes() > bodyLimitBytes ->
+                refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body is over $bodyLimitBytes bytes")
+            else -> {
+                current.body.addComponent(true, content.content().retain())
+                if (content is LastHttpContent) {
+                    reading = null
+                    waiting.addLast(current)
+                    if (waiting.size > AHEAD_MAX) channel.config().isAutoRead = false
+                    serveNext()
+                }
+            }
+        }
+    }
+
+    private fun serveNext() {
+        if (serving != null) return
+        val next = waiting.removeFirstOrNull() ?: return
+        channel.config().isAutoRead = true
+        serving = context.scope.launch {
+            try {
+                context.handler.serve(next)
+            } finally {
+                next.body.release()
+                serving = null
+                if (!next.isOver) channel.close()
+                if (channel.isActive) serveNext()
+            }
+        }
+    }
+
+    private fun sendContinue() {
+        channel.writeAndFlush(
+            DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE),
+        )
+    }
+
+    private fun refuse(status: HttpResponseStatus, text: String) {
+        isRefused = true
+        reading?.body?.release()
+        reading = null
+        val body = Unpooled.copiedBuffer(text, Charsets.UTF_8)
+        val headers = DefaultHttpHeaders().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
+        headers.set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes())
+        channel.write(DefaultHttpResponse(HttpVersion.HTTP_1_1, status, headers))
+        channel.writeAndFlush(DefaultLastHttpContent(body))
+            .addListener(ChannelFutureListener.CLOSE)
+    }
+
+    private inner class ReadRequest(
+        override val request: HttpRequest,
+        override val body: CompositeByteBuf,
+        override val arrivedNanos: Long,
+    ) : CallerExchange {
+        private val keepsAlive = HttpUtil.isKeepAlive(request)
+        private var hasBegun = false
+
+        var isOver: Boolean = false
+            private set
+
+        override val isWritable: Boolean get() = channel.isWritable
+
+        override fun answer(status: Int, headers: HttpHeaders, body: ByteBuf) {
+            check(!isOver && !hasBegun) { "the exchange is over or has begun" }
+            isOver = true
+            val isHead = request.method().name() == "HEAD"
+            if (!isHead && status != HttpResponseStatus.NO_CONTENT.code()) {
+                headers.set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes())
+            }
+            headers.remove(HttpHeaderNames.TRANSFER_ENCODING)
+            writeHead(status, headers)
+            finish(if (isHead) Unpooled.EMPTY_BUFFER.also { body.release() } else body)
+        }
+
+        override fun begin(status: Int, headers: HttpHeaders) {
+            check(!isOver && !hasBegun) { "the exchange is over or has begun" }
+            hasBegun = true
+            headers.remove(HttpHeaderNames.CONTENT_LENGTH)
+            headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED)
+            writeHead(status, headers)
+            channel.flush()
+        }
+
+        override suspend fun write(bytes: ByteBuf) {
+            touchedNanos = System.nanoTime()
+            channel.writeAndFlush(DefaultHttpContent(bytes))
+            while (!channel.isWritable && channel.isActive) {
+                val gate = CompletableDeferred<Unit>()
+                writable = gate
+                gate.await()
+            }
+        }
+
+        override fun end() {
+            isOver = true
+            finish(Unpooled.EMPTY_BUFFER)
+        }
+
+        override fun abort() {
+            isOver = true
+            channel.close()
+        }
+
+        private fun writeHead(status: Int, headers: HttpHeaders) {
+            if (!keepsAlive || context.connections.isClosing) {
+                headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
+            }
+            channel.write(DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), headers))
+        }
+
+        private fun finish(body: ByteBuf) {
+            touchedNanos = System.nanoTime()
+            val written = channel.writeAndFlush(DefaultLastHttpContent(body))
+            if (!keepsAlive || context.connections.isClosing) written.addListener(ChannelFutureListener.CLOSE)
+        }
+    }
+}
+
+/** Returns why [request] cannot be served whatever its route, or null. */
+private fun problemOf(request: HttpRequest): Pair<HttpResponseStatus, String>? {
+    val failure = request.decoderResult().cause()
+    val codings = request.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING)
+    return when {
+        failure is TooLongHttpHeaderException || failure is TooLongHttpLineException ->
+            HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE to "the head is too long"
+        failure != null -> HttpResponseStatus.BAD_REQUEST to "the head is malformed"
+        request.headers().getAll(HttpHeaderNames.HOST).size != 1 ->
+            HttpResponseStatus.BAD_REQUEST to "Host: expected exactly one"
+        codings.isNotEmpty() && (codings.size > 1 || !codings[0].equals("chunked", ignoreCase = true)) ->
+            HttpResponseStatus.BAD_REQUEST to "Transfer-Encoding: expected chunked"
+        codings.isNotEmpty() && request.headers().contains(HttpHeaderNames.CONTENT_LENGTH) ->
+            HttpResponseStatus.BAD_REQUEST to "Content-Length: not allowed beside Transfer-Encoding"
+        request.uri().any { it <= ' ' || it > '~' } || !request.uri().startsWith('/') ->
+            HttpResponseStatus.BAD_REQUEST to "target: expected a path"
+        else -> null
+    }
+}
+
+/** Requests that a caller may send ahead before the connection is read no further. */
+private const val AHEAD_MAX: Int = 4
+private const val BODY_COMPONENTS: Int = 1024
--- /dev/null
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/http/HttpCaller.kt
@@ -0,0 +1,69 @@
+/** Short calls with a small answer, to the platform's store and to endpoints' own interfaces. */
+package pistachiopass.gateway.http
+
+import io.netty.buffer.ByteBuf
+import io.netty.buffer.Unpooled
+import io.netty.handler.codec.http.DefaultHttpRequest
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpVersion
+import kotlinx.coroutines.withTimeoutOrNull
+import pistachiopass.gateway.model.Address
+
+/** An answer that came in full. */
+public class CallAnswer(public val status: Int, public val body: ByteArray)
+
+/** Makes calls over kept connections. */
+public class HttpCaller internal constructor(private val pool: UpstreamPool<Address>) {
+    /** Returns the answer to a GET of [uri], or null if none came in full within [timeoutMillis]. */
+    public suspend fun getOrNull(address: Address, uri: String, timeoutMillis: Long): CallAnswer? =
+        callOrNull(address, HttpMethod.GET, uri, body = null, timeoutMillis)
+
+    /** Returns the answer to a POST of the JSON [body] to [uri], or null if none came in full in time. */
+    public suspend fun postOrNull(address: Address, uri: String, body: String, timeoutMillis: Long): CallAnswer? =
+        callOrNull(address, HttpMethod.POST, uri, body, timeoutMillis)
+
+    /** Closes all kept connections. */
+    public fun reconnect(): Unit = pool.closeAll()
+
+    private suspend fun callOrNull(
+        address: Address,
+        method: HttpMethod,
+        uri: String,
+        body: String?,
+        timeoutMillis: Long,
+    ): CallAnswer? = withTimeoutOrNull(timeoutMillis) {
+        val connection = pool.acquireOrNull(address, address, IDLE_MAX_MILLIS) ?: return@withTimeoutOrNull null
+        try {
+            val bytes = body?.encodeToByteArray()
+            val request = DefaultHttpRequest(HttpVersion.HTTP_1_1, method, uri)
+            request.headers().set(HttpHeaderNames.HOST, address.toString())
+            if (bytes != null) {
+                request.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json")
+                request.headers().set(HttpHeaderNames.CONTENT_LENGTH, bytes.size)
+            }
+            connection.send(request, if (bytes == null) Unpooled.EMPTY_BUFFER else Unpooled.wrappedBuffer(bytes))
+            receiveOrNull(connection)
+        } finally {
+            pool.release(address, connection)
+        }
+    }
+
+    private suspend fun receiveOrNull(connection: UpstreamConnection): CallAnswer? {
+        var status = 0
+        val body = Unpooled.buffer()
+        while (true) {
+            when (val part = connection.receive()) {
+                is Part.Head -> status = part.response.status().code()
+                is Part.Data -> append(body, part.bytes)
+                is Part.End -> return CallAnswer(status, ByteArray(body.readableBytes()).also(body::readBytes))
+                is Part.Broken -> return null
+            }
+        }
+    }
+
+    private fun append(body: ByteBuf, bytes: ByteBuf) {
+        body.writeBytes(bytes)
+        bytes.release()
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/http/UpstreamConnection.kt
@@ -0,0 +1,199 @@
+/**
+ * One connection to an endpoint or to the platform's store.
+ *
+ * The connection carries one exchange at a time. It reports an answer part by part and never calls an answer whole that
+ * was cut off: a chunked answer without its last chunk, or one whose connection was reset, ends in [Part.Broken]. It is
+ * reusable only if the request was written in full, the answer came in full and no byte followed it.
+ */
+package pistachiopass.gateway.http
+
+import io.netty.buffer.ByteBuf
+import io.netty.channel.Channel
+import io.netty.channel.ChannelFuture
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.channel.ChannelPipeline
+import io.netty.handler.codec.http.DefaultLastHttpContent
+import io.netty.handler.codec.http.HttpContent
+import io.netty.handler.codec.http.HttpDecoderConfig
+import io.netty.handler.codec.http.HttpMessage
+import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpRequest
+import io.netty.handler.codec.http.HttpRequestEncoder
+import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpResponseDecoder
+import io.netty.handler.codec.http.HttpStatusClass
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.LastHttpContent
+import io.netty.util.ReferenceCountUtil
+import kotlinx.coroutines.channels.Channel as CoroutineChannel
+
+/** Tells how an exchange broke. */
+internal enum class Breakage { CLOSED, RESET, MALFORMED, UNREACHABLE }
+
+/** One part of an answer. */
+internal sealed interface Part {
+    class Head(val response: HttpResponse) : Part
+
+    /** Holds bytes of the body; the receiver releases them. */
+    class Data(val bytes: ByteBuf) : Part
+
+    data object End : Part
+
+    class Broken(val breakage: Breakage) : Part
+}
+
+/** Speaks HTTP/1.1 as a client on one channel. */
+internal class UpstreamConnection(val channel: Channel) {
+    private val decoder = AnswerDecoder()
+    private var parts: CoroutineChannel<Part>? = null
+    private var isSkipping = false
+    private var isClosingAnnounced = false
+    private var requestWritten: ChannelFuture? = null
+    private var broken: Breakage? = null
+
+    /** Bytes of any kind have been received on this connection. */
+    var hasReceived: Boolean = false
+        private set
+
+    /** Idle time in milliseconds that the other end states, or null. */
+    var keepAliveMillis: Long? = null
+        private set
+
+    /** The last part that was received ended the answer. */
+    private var isEnded = false
+
+    /** Is true if another exchange may be begun. */
+    val isReusable: Boolean
+        get() = channel.isActive && parts == null && broken == null && !isClosingAnnounced &&
+            requestWritten?.isSuccess ?: true
+
+    /** Installs the codec on [pipeline]. */
+    fun install(pipeline: ChannelPipeline) {
+        pipeline.addLast(HttpRequestEncoder(), decoder, Inbound())
+    }
+
+    /** Sends [request] with [body], of which it takes ownership; the answer comes by [receive]. */
+    fun send(request: HttpRequest, body: ByteBuf) {
+        check(parts == null) { "an exchange is in progress on $channel" }
+        parts = CoroutineChannel(CoroutineChannel.UNLIMITED)
+        isEnded = false
+        hasReceived = false
+        decoder.isHead = request.method() == HttpMethod.HEAD
+        broken?.let { parts?.trySend(Part.Broken(it)) }
+        channel.write(request)
+        requestWritten = channel.writeAndFlush(DefaultLastHttpContent(body))
+    }
+
+    /**
+     * Returns the next part of the answer.
+     *
+     * After [Part.End], parts of another answer may follow: an endpoint that faultily answered twice.
+     */
+    suspend fun receive(): Part {
+        val current = checkNotNull(parts) { "no exchange is in progress on $channel" }
+        val part = current.receive()
+        isEnded = part is Part.End
+        return part
+    }
+
+    /** Ends the exchange and returns whether the connection may be used for another one. */
+    fun finish(): Boolean {
+        if (isEnded && parts?.isEmpty != false) parts = null
+        return isReusable
+    }
+
+    /** Stops or goes on reading from the other end. */
+    fun setReading(isReading: Boolean) {
+        channel.config().isAutoRead = isReading
+    }
+
+    /** Closes the connection and releases what was received and not taken. */
+    fun close() {
+        val rest = parts
+        parts = null
+        while (true) {
+            val part = rest?.tryReceive()?.getOrNull() ?: break
+            if (part is Part.Data) part.bytes.release()
+        }
+        channel.close()
+    }
+
+    private inner class Inbound : ChannelInboundHandlerAdapter() {
+        override fun channelRead(context: ChannelHandlerContext, message: Any) {
+            hasReceived = true
+            when {
+                parts == null || (message as? HttpMessage)?.decoderResult()?.isFailure == true -> {
+                    ReferenceCountUtil.release(message)
+                    breakOff(Breakage.MALFORMED)
+                }
+                else -> take(message)
+            }
+        }
+
+        override fun channelInactive(context: ChannelHandlerContext) = breakOff(Breakage.CLOSED)
+
+        @Deprecated("inherited")
+        override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) = breakOff(Breakage.RESET)
+    }
+
+    private fun take(message: Any) {
+        if (message is HttpResponse) {
+            isSkipping = message.status().codeClass() == HttpStatusClass.INFORMATIONAL
+            if (!isSkipping) {
+                isClosingAnnounced = !HttpUtil.isKeepAlive(message)
+                keepAliveMillis = message.headers().get("Keep-Alive")?.let(::keepAliveMillisOrNull)
+                deliver(Part.Head(message))
+            }
+        }
+        if (message is HttpContent) takeContent(message)
+    }
+
+    private fun takeContent(content: HttpContent) {
+        val bytes = content.content()
+        when {
+            content.decoderResult().isFailure -> {
+                bytes.release()
+                breakOff(Breakage.MALFORMED)
+            }
+            isSkipping || !bytes.isReadable -> bytes.release()
+            else -> deliver(Part.Data(bytes))
+        }
+        if (content is LastHttpContent && broken == null && !isSkipping) deliver(Part.End)
+    }
+
+    private fun deliver(part: Part) {
+        val current = parts
+        if (current != null && broken == null) {
+            current.trySend(part)
+        } else if (part is Part.Data) {
+            part.bytes.release()
+        }
+    }
+
+    private fun breakOff(breakage: Breakage) {
+        if (broken != null) return
+        broken = breakage
+        parts?.trySend(Part.Broken(breakage))
+        channel.close()
+    }
+}
+
+/** Decodes answers; the answer to a HEAD request has no body whatever its head says. */
+private class AnswerDecoder : HttpResponseDecoder(
+    HttpDecoderConfig().setMaxInitialLineLength(HEAD_BYTES).setMaxHeaderSize(HEAD_BYTES).setMaxChunkSize(CHUNK_BYTES),
+) {
+    var isHead: Boolean = false
+
+    override fun isContentAlwaysEmpty(message: HttpMessage): Boolean = isHead || super.isContentAlwaysEmpty(message)
+}
+
+private fun keepAliveMillisOrNull(header: String): Long? =
+    header.split(',')
+        .firstNotNullOfOrNull { it.trim().removePrefix("timeout=").toDoubleOrNull() }
+        ?.let { (it * MILLIS_PER_SECOND).toLong() }
+
+/** Longest head of an answer; twice what the deployments allow callers. */
+private const val HEAD_BYTES: Int = 32 * 1024
+private const val CHUNK_BYTES: Int = 64 * 1024
+private const val MILLIS_PER_SECOND: Double = 1_000.0
--- /dev/null
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/http/UpstreamPool.kt
@@ -0,0 +1,98 @@
+/** Connections to endpoints, kept for reuse. All calls come from the event loop. */
+package pistachiopass.gateway.http
+
+import io.netty.bootstrap.Bootstrap
+import io.netty.channel.Channel
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.EventLoop
+import io.netty.channel.socket.nio.NioSocketChannel
+import kotlinx.coroutines.suspendCancellableCoroutine
+import pistachiopass.gateway.model.Address
+import pistachiopass.gateway.state.AgeClock
+import kotlin.coroutines.resume
+
+/** A connection that stands ready, with the time since when, on the age clock. */
+private class Idle(val connection: UpstreamConnection, val sinceMillis: Long)
+
+/** Opens and keeps connections; a connection is kept under the key that it was opened for. */
+internal class UpstreamPool<K : Any>(private val eventLoop: EventLoop, private val clock: AgeClock) {
+    private val idle = HashMap<K, ArrayDeque<Idle>>()
+
+    /** Counts the connections opened so far. */
+    var opened: Long = 0
+        private set
+
+    /** Returns a kept connection for [key] that was idle for at most [idleMaxMillis], or a new one, or null. */
+    suspend fun acquireOrNull(key: K, address: Address, idleMaxMillis: Long): UpstreamConnection? =
+        keptOrNull(key, idleMaxMillis) ?: connectOrNull(address)
+
+    /** Takes [connection] back, and keeps it if it may be used again. */
+    fun release(key: K, connection: UpstreamConnection) {
+        if (connection.finish()) {
+            idle.getOrPut(key, ::ArrayDeque).addLast(Idle(connection, clock.nowMillis()))
+        } else {
+            connection.close()
+        }
+    }
+
+    /** Closes connections that were idle for long, and all of keys that [isWanted] rejects. */
+    fun trim(isWanted: (K) -> Boolean) {
+        val entries = idle.entries.iterator()
+        while (entries.hasNext()) {
+            val (key, connections) = entries.next()
+            val wanted = isWanted(key)
+            connections.filter { !wanted || !isFresh(it, IDLE_MAX_MILLIS) }.forEach { it.connection.close() }
+            connections.removeAll { !it.connection.isReusable }
+            if (connections.isEmpty()) entries.remove()
+        }
+    }
+
+    /** Closes all kept connections. */
+    fun closeAll(): Unit = trim { false }
+
+    private fun keptOrNull(key: K, idleMaxMillis: Long): UpstreamConnection? {
+        val connections = idle[key] ?: return null
+        while (true) {
+            val last = connections.removeLastOrNull() ?: return null
+            if (isFresh(last, idleMaxMillis)) return last.connection
+            last.connection.close()
+        }
+    }
+
+    private fun isFresh(kept: Idle, idleMaxMillis: Long): Boolean {
+        val stated = kept.connection.keepAliveMillis?.let { it - KEEP_ALIVE_MARGIN_MILLIS } ?: idleMaxMillis
+        return kept.connection.isReusable && clock.nowMillis() - kept.sinceMillis <= minOf(idleMaxMillis, stated)
+    }
+
+    private suspend fun connectOrNull(address: Address): UpstreamConnection? {
+        lateinit var connection: UpstreamConnection
+        val bootstrap = Bootstrap()
+            .group(eventLoop)
+            .channel(NioSocketChannel::class.java)
+            .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+            .handler(object : ChannelInitializer<Channel>() {
+                override fun initChannel(channel: Channel) {
+                    connection = UpstreamConnection(channel)
+                    connection.install(channel.pipeline())
+                }
+            })
+        opened++
+        val future = bootstrap.connect(address.host, address.port)
+        val isConnected = suspendCancellableCoroutine { continuation ->
+            future.addListener { continuation.resume(future.isSuccess) }
+            continuation.invokeOnCancellation { future.channel().close() }
+        }
+        return if (isConnected) connection else null
+    }
+}
+
+/** Longest idle time of a kept connection whose other end states none. */
+internal const val IDLE_MAX_MILLIS: Long = 4_000
+
+/** A kept connection is given up this long before the other end would close it. */
+private const val KEEP_ALIVE_MARGIN_MILLIS: Long = 500
+
+/** Time for a connection to open; connections inside a region open within a few milliseconds. */
+private const val CONNECT_TIMEOUT_MILLIS: Int = 400
--- /dev/null
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/placement/FleetLoad.kt
@@ -0,0 +1,114 @@
+/**
+ * The work that is known to be at each endpoint: this instance's own exactly, the others' by their hints.
+ *
+ * Reading work drains in real time. A request of another instance counts as writing until its forecast end, since
+ * hints are sent when a request is placed and not when it ends.
+ */
+package pistachiopass.gateway.placement
+
+import pistachiopass.gateway.model.EndpointLoad
+import pistachiopass.gateway.model.Incarnation
+
+/** Work that one request brings to one endpoint. */
+public data class WorkHint(
+    val endpoint: Incarnation,
+    val readMillis: Double,
+    /** Time for which the request writes after its reading; 0 for an endpoint that only reads a part. */
+    val writeMillis: Double,
+    val contextTokens: Long,
+    /** Longest pause between events that the request bears; 0 if it states none. */
+    val pauseMillis: Long,
+)
+
+/** A request at an endpoint until [untilMillis] or until it is ended. */
+public class PlacedWork internal constructor(
+    internal val hint: WorkHint,
+    internal var untilMillis: Double,
+    internal val isOwn: Boolean,
+)
+
+/** Known work at one endpoint. */
+public class EndpointWork internal constructor() {
+    internal val placed = ArrayList<PlacedWork>()
+    internal var readClearsAtMillis: Double = 0.0
+    internal var statedLoad: EndpointLoad? = null
+    internal var statedAtMillis: Long = 0
+
+    /** Factor by which the endpoint is slower than its published speeds; 1 as published. */
+    public var slowness: Double = 1.0
+        internal set
+
+    /** Number of requests that write here. */
+    public val writers: Int get() = placed.count { it.hint.writeMillis > 0 }
+
+    /** Sum of the contexts of the requests here. */
+    public val contextTokens: Long get() = placed.sumOf { it.hint.contextTokens }
+
+    /** Returns the reading that is ahead of a new prompt at [nowMillis]. */
+    public fun backlogMillis(nowMillis: Long): Double = maxOf(0.0, readClearsAtMillis - nowMillis)
+
+    /** Returns the requests here, as known or as the endpoint stated within the last moments, whichever is more. */
+    public fun requestsAt(nowMillis: Long): Int {
+        val stated = statedLoad?.takeIf { nowMillis - statedAtMillis < STATED_MILLIS }
+        return maxOf(placed.size, stated?.let { it.running + it.waiting } ?: 0)
+    }
+
+    internal fun expire(nowMillis: Long) {
+        placed.removeAll { !it.isOwn && it.untilMillis < nowMillis }
+    }
+}
+
+/** Keeps the known work at all endpoints. All calls come from the event loop. */
+public class FleetLoad internal constructor(private val nowMillis: () -> Long) {
+    private val works = HashMap<Incarnation, EndpointWork>()
+
+    /** Returns the known work at [endpoint]. */
+    public fun at(endpoint: Incarnation): EndpointWork =
+        works.getOrPut(endpoint, ::EndpointWork).also { it.expire(nowMillis()) }
+
+    /** Adds the work of [hint]; own work stays until it is ended, another instance's until its forecast end. */
+    public fun add(hint: WorkHint, isOwn: Boolean): PlacedWork {
+        val work = at(hint.endpoint)
+        val now = nowMillis()
+        work.readClearsAtMillis = maxOf(work.readClearsAtMillis, now.toDouble()) + hint.readMillis * work.slowness
+        val placed = PlacedWork(hint, work.readClearsAtMillis + hint.writeMillis, isOwn)
+        work.placed += placed
+        return placed
+    }
+
+    /** Records that the prompt of [placed] has been read. */
+    public fun readEnded(placed: PlacedWork, forecastMillis: Double, actualMillis: Double) {
+        val work = at(placed.hint.endpoint)
+        val ratio = (actualMillis / maxOf(forecastMillis, RATIO_FLOOR_MILLIS)).coerceIn(RATIO_MIN, RATIO_MAX)
+        work.slowness = (work.slowness * (1 - RATIO_PART) + ratio * RATIO_PART).coerceAtLeast(1.0)
+        if (work.placed.none { it !== placed && it.isOwn && it.hint.readMillis > 0 }) {
+            work.readClearsAtMillis = minOf(work.readClearsAtMillis, nowMillis() + work.backlogMillis(nowMillis()) / 2)
+        }
+    }
+
+    /** Removes the work of a request that ended. */
+    public fun end(placed: PlacedWork) {
+        works[placed.hint.endpoint]?.placed?.remove(placed)
+    }
+
+    /** Records the load that an endpoint stated in an answer. */
+    public fun stated(endpoint: Incarnation, load: EndpointLoad) {
+        val work = at(endpoint)
+        work.statedLoad = load
+        work.statedAtMillis = nowMillis()
+    }
+
+    /** Forgets endpoints that [isKnown] rejects and that hold no own work. */
+    public fun trim(isKnown: (Incarnation) -> Boolean) {
+        works.entries.removeIf { (incarnation, work) -> !isKnown(incarnation) && work.placed.none { it.isOwn } }
+    }
+}
+
+/** Age up to which a stated load is used; requests last about as long. */
+private const val STATED_MILLIS: Long = 300
+
+/** Forecasts below this say little about an engine's pace, as the way there and a pass weigh as much. */
+private const val RATIO_FLOOR_MILLIS: Double = 150.0
+private const val RATIO_MIN: Double = 0.5
+private const val RATIO_MAX: Double = 8.0
+private const val RATIO_PART: Double = 0.15
