Share hints of placed work, membership and proofs of currency between instances

Cause: each instance saw an eighth of the load, so long prompts met on the same engines (busiest over mean 2.0) and short prompts gathered beside them. Instances now tell each other of placed work by datagrams within 10 ms. Also ruled out: processor time (0.03 of a core).

--- a/gateway/src/main/kotlin/pistachiopass/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/Gateway.kt
@@ -25,6 +25,7 @@
 import pistachiopass.gateway.forward.Sender
 import pistachiopass.gateway.forward.SenderParts
 import pistachiopass.gateway.forward.admissionOf
+import pistachiopass.gateway.forward.holdMillisOf
 import pistachiopass.gateway.http.CallerConnections
 import pistachiopass.gateway.http.CallerContext
 import pistachiopass.gateway.http.HttpCaller
@@ -35,6 +36,8 @@
 import pistachiopass.gateway.model.CallerLimits
 import pistachiopass.gateway.model.Incarnation
 import pistachiopass.gateway.model.addressOrNull
+import pistachiopass.gateway.peers.Membership
+import pistachiopass.gateway.peers.Peers
 import pistachiopass.gateway.placement.EndpointHealth
 import pistachiopass.gateway.placement.FleetLoad
 import pistachiopass.gateway.placement.Placement
@@ -70,6 +73,14 @@
     private val connections = CallerConnections()
     private val admission = admissionOf(beliefs, settings.bounds.revokeMillis.toLong())
     private val wire = adapter.wire
+    private val membership = Membership(addressOf(settings.controlAddress).host, seedHosts(), clock::nowMillis)
+    private val peers = Peers(
+        Address(addressOf(settings.controlAddress).host, settings.peerPort),
+        membership,
+        beliefs,
+        load,
+        clock,
+    )
     private val forwarder = forwarder(adapter)
     private var isStopping = false
     private var listeners: List<Channel> = emptyList()
@@ -83,6 +94,7 @@
             listen(group, addressOf(settings.callerAddress)) { serveCallers(it, callers) },
             listen(group, addressOf(settings.readyAddress)) { serveCallers(it, probes) },
         )
+        peers.start(scope, eventLoop)
         scope.launch { StateWatch(source, beliefs, clock).run() }
         scope.launch { housekeeping() }
         while (!isReady() && !stopAsked.isCompleted) delay(READY_POLL_MILLIS)
@@ -110,10 +122,12 @@
     private fun isReady(): Boolean =
         !isStopping && beliefs.table != null && beliefs.isProvedWithin(READY_PROOF_MILLIS)
 
+    private fun seedHosts(): List<String> = settings.seeds.mapNotNull { addressOrNull(it)?.host }
+
     private fun callerLimits(): CallerLimits = beliefs.table?.limits ?: DEFAULT_LIMITS
 
     private fun forwarder(adapter: PlatformAdapter): Forwarder {
-        val instances = { INSTANCES_ASSUMED }
+        val instances = membership::splitCount
         val parts = SenderParts(
             wire,
             beliefs,
@@ -122,8 +136,8 @@
             load,
             health,
             clock,
-            hints = { },
-            Reservations(adapter.endpointOrders(caller), settings.bounds.holdMaxMillis.toLong(), scope),
+            peers::placed,
+            Reservations(adapter.endpointOrders(caller), holdMillisOf(settings.bounds.freeMillis, settings.bounds.holdMaxMillis), scope),
         )
         val repeats = RepeatBudget(settings.bounds, instances, clock::nowMillis)
         return Forwarder(
@@ -164,9 +178,6 @@
     idleTimeoutMillis = 15_000,
 )
 
-/** Instances among which limits summed over all are split. */
-private const val INSTANCES_ASSUMED: Int = 16
-
 /** Age of the proof up to which the instance is ready; two watches and a reconnection. */
 private const val READY_PROOF_MILLIS: Long = 3_500
 private const val READY_POLL_MILLIS: Long = 10
--- a/gateway/src/main/kotlin/pistachiopass/gateway/forward/Reservations.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/forward/Reservations.kt
@@ -1,12 +1,15 @@
 /**
  * Reservations of memory for prompts that one engine cannot hold.
  *
- * A reservation is held for a bounded time and released as soon as its request is over. An order without an answer may
- * be carried out seconds later, so it is released again until it cannot be carried out any more.
+ * A reservation is held for a short time and renewed while its request lasts, so that one whose instance died ends by
+ * itself soon. It is released as soon as the request is over. An order without an answer may be carried out seconds
+ * later, even a renewal after the release; such a reservation is released again until no order can be under way.
  */
 package pistachiopass.gateway.forward
 
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.coroutineScope
@@ -14,50 +17,80 @@
 import kotlinx.coroutines.launch
 import pistachiopass.gateway.EndpointOrders
 import pistachiopass.gateway.OrderOutcome
+import pistachiopass.gateway.model.Address
 import pistachiopass.gateway.placement.Place
-import pistachiopass.gateway.state.KnownEndpoint
 import pistachiopass.model.RequestId
 
-/** Makes and ends reservations; releases run in [scope], beyond the request. */
+/** Makes, renews and ends reservations; renewals and releases run in [scope], beyond the request. */
 internal class Reservations(
     private val orders: EndpointOrders,
-    private val holdMaxMillis: Long,
+    private val holdMillis: Long,
     private val scope: CoroutineScope,
 ) {
     private var sequence = 0L
 
-    /** Returns the id under which memory is reserved at all engines of [place], or null if it is not to be had. */
-    suspend fun reserveOrNull(request: RequestId, place: Place, leftMillis: Long): String? {
-        val id = "${request.value}-${sequence++}"
-        val holdMillis = minOf(holdMaxMillis, leftMillis, HOLD_MILLIS)
-        val outcomes = coroutineScope {
-            enginesOf(place)
-                .map { engine -> async { orders.reserve(engine.published.address, id, place.reservedTokens, holdMillis) } }
-                .awaitAll()
+    /** Returns a reservation at all engines of [place], or null if the memory is not to be had. */
+    suspend fun reserveOrNull(request: RequestId, place: Place): Reservation? {
+        val engines = (listOf(place.endpoint) + place.helpers).map { it.published.address }
+        val reservation = Reservation("${request.value}-${sequence++}", engines, place.reservedTokens)
+        val outcomes = try {
+            coroutineScope { engines.map { async { reservation.ask(it) } }.awaitAll() }
+        } catch (e: CancellationException) {
+            reservation.release()
+            throw e
         }
-        if (outcomes.all { it == OrderOutcome.DONE }) return id
-        release(place, id)
+        if (outcomes.all { it == OrderOutcome.DONE }) return reservation.also { it.keep() }
+        reservation.release()
         return null
     }
 
-    /** Ends the reservation [id] at all engines of [place]. */
-    fun release(place: Place, id: String) {
-        enginesOf(place).forEach { engine -> scope.launch { release(engine, id) } }
-    }
+    /** Memory of [tokens] that is set aside at each of [engines] under [id]. */
+    inner class Reservation(val id: String, private val engines: List<Address>, private val tokens: Long) {
+        private val unanswered = HashSet<Address>()
+        private var renewals: Job? = null
 
-    private suspend fun release(engine: KnownEndpoint, id: String) {
-        repeat(RELEASE_TRIES) {
-            if (orders.release(engine.published.address, id) != OrderOutcome.UNKNOWN) return
-            delay(RELEASE_PAUSE_MILLIS)
+        /** Asks [engine] for the memory, or for more time. */
+        suspend fun ask(engine: Address): OrderOutcome {
+            unanswered += engine
+            val outcome = orders.reserve(engine, id, tokens, holdMillis)
+            if (outcome != OrderOutcome.UNKNOWN) unanswered -= engine
+            return outcome
         }
-    }
 
-    private fun enginesOf(place: Place): List<KnownEndpoint> = listOf(place.endpoint) + place.helpers
+        /** Renews the reservation until its release. */
+        fun keep() {
+            renewals = scope.launch {
+                while (true) {
+                    delay(holdMillis / RENEWALS_PER_HOLD)
+                    engines.forEach { engine -> launch { ask(engine) } }
+                }
+            }
+        }
+
+        /** Ends the reservation at all engines. */
+        fun release() {
+            renewals?.cancel()
+            engines.forEach { engine -> scope.launch { release(engine, mayComeLater = engine in unanswered) } }
+        }
+
+        private suspend fun release(engine: Address, mayComeLater: Boolean) {
+            var isDone = false
+            repeat(RELEASE_TRIES) {
+                isDone = orders.release(engine, id) != OrderOutcome.UNKNOWN || isDone
+                if (isDone && !mayComeLater) return
+                delay(RELEASE_PAUSE_MILLIS)
+            }
+        }
+    }
 }
 
-/** Longest time for which memory is reserved: reading and writing of the longest prompts, with room. */
-private const val HOLD_MILLIS: Long = 8_000
+/** Returns the time for which a reservation is held at once, so that it ends within [freeMillis] of its last renewal. */
+internal fun holdMillisOf(freeMillis: Double, holdMaxMillis: Double): Long =
+    minOf(freeMillis * HOLD_PART, holdMaxMillis).toLong()
+
+private const val HOLD_PART: Double = 0.8
+private const val RENEWALS_PER_HOLD: Long = 3
 
-/** An unanswered order may be carried out up to about ten seconds later. */
-private const val RELEASE_TRIES: Int = 6
-private const val RELEASE_PAUSE_MILLIS: Long = 2_000
+/** An unanswered order may be carried out up to twelve seconds later. */
+private const val RELEASE_TRIES: Int = 14
+private const val RELEASE_PAUSE_MILLIS: Long = 1_000
--- a/gateway/src/main/kotlin/pistachiopass/gateway/forward/Sender.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/forward/Sender.kt
@@ -68,12 +68,12 @@
         parts.hints.placed(place.hints)
         try {
             if (place.reservedTokens == 0L) return send(work, place, placed, helpersOf(place, null))
-            val reservation = parts.reservations.reserveOrNull(work.facts.id, place, work.leftMillis())
+            val reservation = parts.reservations.reserveOrNull(work.facts.id, place)
                 ?: return notRun(place, FailureCode.OVERLOADED, "memory for the prompt is not free", hasArrived = false)
             return try {
-                send(work, place, placed, helpersOf(place, reservation))
+                send(work, place, placed, helpersOf(place, reservation.id))
             } finally {
-                parts.reservations.release(place, reservation)
+                reservation.release()
             }
         } finally {
             placed.forEach(parts.load::end)
--- /dev/null
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/peers/PeerMessages.kt
@@ -0,0 +1,77 @@
+/** Messages between instances: one CBOR document a datagram. */
+package pistachiopass.gateway.peers
+
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.cbor.Cbor
+import pistachiopass.gateway.model.Incarnation
+import pistachiopass.gateway.placement.WorkHint
+import pistachiopass.model.EndpointId
+
+/** One message. */
+@Serializable
+internal sealed interface PeerMessage
+
+/** Tells of known instances; ages by host. */
+@Serializable
+@SerialName("g")
+internal data class Greeting(val heardAgeMillis: Map<String, Long>) : PeerMessage
+
+/** Tells of work that was placed. */
+@Serializable
+@SerialName("w")
+internal data class PlacedWorkNews(val works: List<HintedWork>) : PeerMessage
+
+/** Asks for a proof that the operator's documents are current; [nonce] ties the answer to the time of the question. */
+@Serializable
+@SerialName("q")
+internal data class ProofQuestion(val nonce: Long) : PeerMessage
+
+/** Says that the operator's last change, as of [ageMillis] before this answer, had [operatorRevision]. */
+@Serializable
+@SerialName("p")
+internal data class ProofAnswer(val nonce: Long, val operatorRevision: Long, val ageMillis: Long) : PeerMessage
+
+/** [WorkHint] in short names, as many are sent. */
+@Serializable
+internal data class HintedWork(
+    @SerialName("e") val endpoint: EndpointId,
+    @SerialName("b") val bornMillis: Long,
+    @SerialName("r") val readMillis: Float,
+    @SerialName("w") val writeMillis: Float,
+    @SerialName("c") val contextTokens: Long,
+    @SerialName("p") val pauseMillis: Long,
+) {
+    fun toHint(): WorkHint = WorkHint(
+        Incarnation(endpoint, bornMillis),
+        readMillis.toDouble(),
+        writeMillis.toDouble(),
+        contextTokens,
+        pauseMillis,
+    )
+}
+
+internal fun hintedWorkOf(hint: WorkHint): HintedWork = HintedWork(
+    hint.endpoint.endpoint,
+    hint.endpoint.bornMillis,
+    hint.readMillis.toFloat(),
+    hint.writeMillis.toFloat(),
+    hint.contextTokens,
+    hint.pauseMillis,
+)
+
+@OptIn(ExperimentalSerializationApi::class)
+internal fun encode(message: PeerMessage): ByteArray = Cbor.encodeToByteArray(PeerMessage.serializer(), message)
+
+/** Returns the message in [bytes], or null if they hold none. */
+@OptIn(ExperimentalSerializationApi::class)
+internal fun decodeOrNull(bytes: ByteArray): PeerMessage? =
+    try {
+        Cbor.decodeFromByteArray(PeerMessage.serializer(), bytes)
+    } catch (_: SerializationException) {
+        null
+    } catch (_: IllegalArgumentException) {
+        null
+    }
--- /dev/null
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/peers/Peers.kt
@@ -0,0 +1,158 @@
+/**
+ * What instances tell each other, by datagrams: who is there, what work was placed, and proofs of currency.
+ *
+ * Nothing that must be right depends on a datagram's arrival. A proof counts from the time of the question, so one that
+ * was held up, or read late by a process that stood still, proves nothing that is no longer true.
+ */
+package pistachiopass.gateway.peers
+
+import io.netty.bootstrap.Bootstrap
+import io.netty.buffer.ByteBufUtil
+import io.netty.buffer.Unpooled
+import io.netty.channel.Channel
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.EventLoop
+import io.netty.channel.SimpleChannelInboundHandler
+import io.netty.channel.socket.DatagramPacket
+import io.netty.channel.socket.nio.NioDatagramChannel
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import pistachiopass.entry.logging.Event
+import pistachiopass.entry.logging.EventLog
+import pistachiopass.entry.logging.field
+import pistachiopass.entry.logging.log
+import pistachiopass.entry.logging.tokenField
+import pistachiopass.gateway.model.Address
+import pistachiopass.gateway.placement.FleetLoad
+import pistachiopass.gateway.placement.WorkHint
+import pistachiopass.gateway.state.AgeClock
+import pistachiopass.gateway.state.Beliefs
+import java.net.InetSocketAddress
+
+/** Speaks with the other instances. All calls come from the event loop. */
+internal class Peers(
+    private val own: Address,
+    private val membership: Membership,
+    private val beliefs: Beliefs,
+    private val load: FleetLoad,
+    private val clock: AgeClock,
+) {
+    private var channel: Channel? = null
+    private var questions = 0L
+    private val askedMillis = LinkedHashMap<Long, Long>()
+    private val news = ArrayList<HintedWork>()
+    private var known: Set<String> = emptySet()
+
+    /** Binds the port and greets the others for as long as [scope] lives. */
+    fun start(scope: CoroutineScope, eventLoop: EventLoop) {
+        val future = Bootstrap()
+            .group(eventLoop)
+            .channel(NioDatagramChannel::class.java)
+            .handler(Inbound())
+            .bind(own.host, own.port)
+        channel = future.channel()
+        scope.launch { greetings() }
+        scope.launch { proofs() }
+        scope.launch { newsRounds() }
+    }
+
+    /** Tells the others of placed work, a few milliseconds later together with more of it. */
+    fun placed(hints: List<WorkHint>) {
+        hints.mapTo(news, ::hintedWorkOf)
+    }
+
+    private suspend fun greetings() {
+        while (true) {
+            val greeting = Greeting(membership.live().entries.shuffled().take(GREETING_MEMBERS).associate { it.toPair() })
+            send(membership.greeted(), greeting)
+            noteChanges()
+            delay(GREETING_MILLIS)
+        }
+    }
+
+    private suspend fun newsRounds() {
+        while (true) {
+            delay(NEWS_MILLIS)
+            if (news.isNotEmpty()) {
+                send(membership.live().keys, PlacedWorkNews(news.take(NEWS_MAX)))
+                news.clear()
+            }
+        }
+    }
+
+    /** Asks others for a proof while the store gives none. */
+    private suspend fun proofs() {
+        while (true) {
+            delay(PROOF_MILLIS)
+            if (beliefs.table == null || beliefs.isProvedWithin(PROOF_WANTED_MILLIS)) continue
+            askedMillis[++questions] = clock.nowMillis()
+            while (askedMillis.size > QUESTIONS_MAX) askedMillis.remove(askedMillis.keys.first())
+            send(membership.live().keys.shuffled().take(PROOF_ASKED).toSet(), ProofQuestion(questions))
+        }
+    }
+
+    private fun noteChanges() {
+        val live = membership.live().keys
+        (live - known).forEach { EventLog.log(Event.PEER_CONNECTED, tokenField("peer", it), field("live", live.size)) }
+        (known - live).forEach { EventLog.log(Event.PEER_LOST, tokenField("peer", it), field("live", live.size)) }
+        known = live
+    }
+
+    private fun send(hosts: Set<String>, message: PeerMessage) {
+        val target = channel ?: return
+        val bytes = encode(message)
+        hosts.forEach { host ->
+            target.writeAndFlush(DatagramPacket(Unpooled.wrappedBuffer(bytes), InetSocketAddress(host, own.port)))
+        }
+    }
+
+    private fun receive(sender: String, message: PeerMessage) {
+        membership.heard(sender, ageMillis = 0)
+        when (message) {
+            is Greeting -> message.heardAgeMillis.forEach { (host, ageMillis) -> membership.heard(host, ageMillis) }
+            is PlacedWorkNews -> message.works.forEach { load.add(it.toHint(), isOwn = false) }
+            is ProofQuestion -> answerProof(sender, message)
+            is ProofAnswer -> takeProof(message)
+        }
+    }
+
+    private fun answerProof(sender: String, question: ProofQuestion) {
+        val ageMillis = beliefs.storeProofAgeMillisOrNull() ?: return
+        send(setOf(sender), ProofAnswer(question.nonce, beliefs.operatorRevision.value, ageMillis))
+    }
+
+    private fun takeProof(answer: ProofAnswer) {
+        val askedAtMillis = askedMillis[answer.nonce] ?: return
+        if (answer.operatorRevision == beliefs.operatorRevision.value) {
+            beliefs.provedByPeer(askedAtMillis - answer.ageMillis)
+        }
+    }
+
+    private inner class Inbound : SimpleChannelInboundHandler<DatagramPacket>() {
+        override fun channelRead0(context: ChannelHandlerContext, packet: DatagramPacket) {
+            val sender = packet.sender().address.hostAddress
+            decodeOrNull(ByteBufUtil.getBytes(packet.content()))?.let { receive(sender, it) }
+        }
+
+        @Deprecated("inherited")
+        override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
+            EventLog.log(Event.PEER_UNREACHABLE, field("error", cause))
+        }
+    }
+}
+
+private const val GREETING_MILLIS: Long = 500
+private const val GREETING_MEMBERS: Int = 24
+
+/** Time for which news of placed work is gathered; below the time that a request takes to reach its endpoint and begin. */
+private const val NEWS_MILLIS: Long = 10
+
+/** Works in one datagram, so that it fits a frame. */
+private const val NEWS_MAX: Int = 24
+private const val PROOF_MILLIS: Long = 300
+
+/** Age of the own proof from which on others are asked; a watch that found nothing is younger. */
+private const val PROOF_WANTED_MILLIS: Long = 1_500
+private const val PROOF_ASKED: Int = 3
+private const val QUESTIONS_MAX: Int = 32
--- a/gateway/src/main/kotlin/pistachiopass/gateway/settings/GatewaySettings.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/settings/GatewaySettings.kt
@@ -32,25 +32,25 @@
     val bounds: BoundSettings,
 )
 
-/** Bounds that the operators state for the deployment. */
+/** Bounds that the operators state for the deployment; a deployment without the matter states none. */
 @Serializable
 public data class BoundSettings(
     /** Time from the acknowledgement of a key's removal until no request of it may run. */
-    val revokeMillis: Double,
-    /** Time from an endpoint's leaving until no request may reach it. */
-    val drainMillis: Double,
+    val revokeMillis: Double = 5_000.0,
     /** Time from SIGTERM to SIGKILL. */
-    val graceSeconds: Double,
+    val graceSeconds: Double = 8.0,
     /** Repeats as a share of requests, summed over all instances. */
-    val repeatShare: Double,
+    val repeatShare: Double = 0.1,
     /** Repeats beyond that share in one window, summed over all instances. */
-    val repeatSlack: Double,
-    val repeatWindowSeconds: Double,
+    val repeatSlack: Double = 0.0,
+    val repeatWindowSeconds: Double = 10.0,
     /** Factor and addend on a cold endpoint's published rate, summed over all instances. */
-    val coldFactor: Double,
-    val coldSlack: Double,
+    val coldFactor: Double = 1.0,
+    val coldSlack: Double = 0.0,
     /** Longest time for which a reservation may be asked. */
-    val holdMaxMillis: Double,
+    val holdMaxMillis: Double = 20_000.0,
+    /** Time after a request's end in which memory that was set aside for it must be free. */
+    val freeMillis: Double = 4_000.0,
 )
 
 /** Returns the settings in [text], or a text that names the field and what is wrong. */
--- a/gateway/src/main/kotlin/pistachiopass/gateway/state/Beliefs.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/state/Beliefs.kt
@@ -38,6 +38,7 @@
     private val evacuated = HashSet<DataCentreId>()
     private var usable: Map<ServiceName, List<KnownEndpoint>> = emptyMap()
     private var provedAtMillis: Long? = null
+    private var peerProvedAtMillis: Long? = null
     private var regainedAtMillis: Long = Long.MIN_VALUE / 2
 
     /** The configuration in force, or null while none is known. */
@@ -48,13 +49,22 @@
     public var operatorRevision: Revision = Revision(0)
         private set
 
-    /** Returns the time since the published state was last proved current, or null if it never was. */
-    public fun proofAgeMillisOrNull(): Long? = provedAtMillis?.let { clock.nowMillis() - it }
+    /** Returns the time since the operator's documents were last proved current, or null if they never were. */
+    public fun proofAgeMillisOrNull(): Long? =
+        listOfNotNull(provedAtMillis, peerProvedAtMillis).maxOrNull()?.let { clock.nowMillis() - it }
 
-    /** Is true if the published state was proved current within [limitMillis]. */
+    /** Returns the time since the store itself last proved the published state, or null if it never did. */
+    public fun storeProofAgeMillisOrNull(): Long? = provedAtMillis?.let { clock.nowMillis() - it }
+
+    /** Records that another instance proved the operator's documents current as of [atMillis] on the age clock. */
+    public fun provedByPeer(atMillis: Long) {
+        peerProvedAtMillis = maxOf(peerProvedAtMillis ?: atMillis, atMillis)
+    }
+
+    /** Is true if the operator's documents were proved current within [limitMillis]. */
     public fun isProvedWithin(limitMillis: Long): Boolean = proofAgeMillisOrNull()?.let { it <= limitMillis } ?: false
 
-    /** Records that the state as of [atMillis] on the age clock is known. */
+    /** Records that the store gave the state as of [atMillis] on the age clock. */
     public fun proved(atMillis: Long) {
         val before = provedAtMillis
         if (before == null || atMillis > before) {
