--- a/entry/src/main/kotlin/pistachiopass/entry/logging/Event.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/logging/Event.kt
@@ -24,7 +24,7 @@
     TABLE_ACCEPTED(number = 2001, Level.INFO, "A new version of a table is in force."),
     TABLE_REFUSED(number = 2002, Level.ERROR, "A version of a table has errors; the version before it stays in force."),
     TABLE_VERSION_IGNORED(number = 2003, Level.WARN, "A version not newer than the one in force was ignored."),
-    STATE_PROVED_AGAIN(number = 2007, Level.INFO, "Published state is proved current after a gap; its length is given."),
+    STATE_PROVED_AGAIN(number = 2007, Level.INFO, "Published state is proved current after a gap."),
     TABLE_AGE(number = 2004, Level.WARN, "A table has not been confirmed for a long time."),
     STARTED_BY_PEERS(
         number = 2005,
--- a/gateway/src/main/kotlin/pistachiopass/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/Gateway.kt
@@ -19,6 +19,7 @@
 import pistachiopass.entry.logging.field
 import pistachiopass.entry.logging.log
 import pistachiopass.gateway.forward.ColdBudget
+import pistachiopass.gateway.forward.EndpointRecords
 import pistachiopass.gateway.forward.Forwarder
 import pistachiopass.gateway.forward.RepeatBudget
 import pistachiopass.gateway.forward.Reservations
@@ -61,12 +62,16 @@
 public class Gateway internal constructor(private val settings: GatewaySettings, adapter: PlatformAdapter) {
     private val group: EventLoopGroup = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
     private val eventLoop: EventLoop = group.next()
-    private val failures = CoroutineExceptionHandler { _, error -> EventLog.log(Event.INTERNAL_ERROR, field("error", error)) }
+    private val failures =
+        CoroutineExceptionHandler { _, error -> EventLog.log(Event.INTERNAL_ERROR, field("error", error)) }
     private val scope = CoroutineScope(SupervisorJob() + eventLoop.asCoroutineDispatcher() + failures)
     private val clock = ageClockOf()
     private val beliefs = beliefsOf(clock)
     private val caller = HttpCaller(UpstreamPool(eventLoop, clock))
-    private val source = adapter.stateSource(HttpCaller(UpstreamPool(eventLoop, clock)), addressOf(settings.storeAddress))
+    private val source = adapter.stateSource(
+        HttpCaller(UpstreamPool(eventLoop, clock)),
+        addressOf(settings.storeAddress)
+    )
     private val pool = UpstreamPool<Incarnation>(eventLoop, clock)
     private val health = EndpointHealth(::steadyMillis, EventLog)
     private val load = FleetLoad(::steadyMillis)
@@ -89,7 +94,8 @@
     public suspend fun start(stopAsked: Deferred<Unit>): Unit = withContext(scope.coroutineContext) {
         EventLog.log(Event.START, field("instance", settings.instance), field("dataCentre", settings.dataCentre))
         val callers = CallerContext(scope, forwarder, ::callerLimits, connections)
-        val probes = CallerContext(scope, ReadinessHandler(wire.readyPath, ::isReady), { DEFAULT_LIMITS }, CallerConnections())
+        val readiness = ReadinessHandler(wire.readyPath, ::isReady)
+        val probes = CallerContext(scope, readiness, { DEFAULT_LIMITS }, CallerConnections())
         listeners = listOf(
             listen(group, addressOf(settings.callerAddress)) { serveCallers(it, callers) },
             listen(group, addressOf(settings.readyAddress)) { serveCallers(it, probes) },
@@ -103,7 +109,8 @@
 
     /** Serves on until the balancer has noticed, then ends the running requests within the time of grace. */
     public suspend fun stop(): Unit = withContext(scope.coroutineContext) {
-        val deadlineMillis = steadyMillis() + (settings.bounds.graceSeconds * MILLIS_PER_SECOND).toLong() - STOP_MARGIN_MILLIS
+        val graceMillis = (settings.bounds.graceSeconds * MILLIS_PER_SECOND).toLong()
+        val deadlineMillis = steadyMillis() + graceMillis - STOP_MARGIN_MILLIS
         isStopping = true
         connections.isClosing = true
         EventLog.log(Event.STOP_BEGUN, field("connections", connections.size))
@@ -120,7 +127,7 @@
     }
 
     private fun isReady(): Boolean =
-        !isStopping && beliefs.table != null && beliefs.isProvedWithin(READY_PROOF_MILLIS)
+        !isStopping && beliefs.table != null && beliefs.proofs.isWithin(READY_PROOF_MILLIS)
 
     private fun seedHosts(): List<String> = settings.seeds.mapNotNull { addressOrNull(it)?.host }
 
@@ -128,16 +135,15 @@
 
     private fun forwarder(adapter: PlatformAdapter): Forwarder {
         val instances = membership::splitCount
+        val bounds = settings.bounds
+        val orders = adapter.endpointOrders(caller)
         val parts = SenderParts(
             wire,
             beliefs,
             admission,
-            ColdBudget(settings.bounds, instances, clock::nowMillis),
-            load,
-            health,
-            clock,
-            peers::placed,
-            Reservations(adapter.endpointOrders(caller), holdMillisOf(settings.bounds.freeMillis, settings.bounds.holdMaxMillis), scope),
+            ColdBudget(bounds, instances, clock),
+            EndpointRecords(load, health, peers::placed),
+            Reservations(orders, holdMillisOf(bounds.freeMillis, bounds.holdMaxMillis), scope),
         )
         val repeats = RepeatBudget(settings.bounds, instances, clock::nowMillis)
         return Forwarder(
@@ -153,8 +159,8 @@
     private suspend fun housekeeping() {
         while (true) {
             delay(HOUSEKEEPING_MILLIS)
-            beliefs.expireMissing()
-            val known = beliefs.allEndpoints().mapTo(HashSet()) { it.published.incarnation }
+            beliefs.endpoints.expireMissing()
+            val known = beliefs.endpoints.all().mapTo(HashSet()) { it.published.incarnation }
             pool.trim(known::contains)
             health.trim(known::contains)
             load.trim(known::contains)
--- a/gateway/src/main/kotlin/pistachiopass/gateway/forward/Admission.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/forward/Admission.kt
@@ -49,7 +49,7 @@
     public fun objectionOrNull(admitted: Admitted, key: String?): Failure? =
         when {
             !needsKey(admitted.table, admitted.route) -> null
-            !beliefs.isProvedWithin(keyProofMillis) -> unavailable("keys were not confirmed in time")
+            !beliefs.proofs.isWithin(keyProofMillis) -> unavailable("keys were not confirmed in time")
             key == null || beliefs.table?.workspaceOrNull(key) != admitted.workspace ->
                 Failure(FailureCode.NOT_AUTHORIZED, Verdict.NOT_RUN, "the key is no longer valid")
             else -> null
@@ -62,7 +62,7 @@
             service == null -> Err(unavailable("the route's service is unknown"))
             !needsKey(table, route) -> Ok(Admitted(table, route, service, workspace))
             workspace == null -> Err(unknown(FailureCode.NOT_AUTHORIZED, "the key is missing or unknown"))
-            !beliefs.isProvedWithin(keyProofMillis) -> Err(unavailable("keys were not confirmed in time"))
+            !beliefs.proofs.isWithin(keyProofMillis) -> Err(unavailable("keys were not confirmed in time"))
             else -> Ok(Admitted(table, route, service, workspace))
         }
     }
@@ -81,7 +81,7 @@
     }
 
     private fun unknown(code: FailureCode, message: String): Failure =
-        if (beliefs.isProvedWithin(denyProofMillis)) {
+        if (beliefs.proofs.isWithin(denyProofMillis)) {
             Failure(code, Verdict.NOT_RUN, message)
         } else {
             unavailable("$message, and the configuration was not confirmed in time")
--- a/gateway/src/main/kotlin/pistachiopass/gateway/forward/Budgets.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/forward/Budgets.kt
@@ -8,6 +8,8 @@
 import pistachiopass.gateway.model.Incarnation
 import pistachiopass.gateway.model.ServiceName
 import pistachiopass.gateway.settings.BoundSettings
+import pistachiopass.gateway.state.AgeClock
+import pistachiopass.gateway.state.KnownEndpoint
 import kotlin.math.floor
 
 /** Limits the sending of one request a second time, by service, over a sliding window. */
@@ -50,24 +52,28 @@
 public class ColdBudget internal constructor(
     private val bounds: BoundSettings,
     private val instances: () -> Int,
-    private val nowMillis: () -> Long,
+    private val clock: AgeClock,
 ) {
     private val sent = HashMap<Incarnation, ArrayDeque<Long>>()
 
-    /** Is true if a cold endpoint of a service that bears [coldPerSecond] may get one more request from here. */
-    public fun mayTake(incarnation: Incarnation, coldPerSecond: Double): Boolean {
-        val times = sent[incarnation] ?: ArrayDeque()
-        times.dropBefore(nowMillis() - COLD_WINDOW_MILLIS)
+    /** Is true if [endpoint], of a service whose cold ones bear [coldPerSecond], may get a request from here now. */
+    public fun mayTake(endpoint: KnownEndpoint, coldPerSecond: Double): Boolean {
+        if (!isCold(endpoint) || coldPerSecond <= 0) return true
+        val times = sent[endpoint.published.incarnation] ?: ArrayDeque()
+        times.dropBefore(clock.nowMillis() - COLD_WINDOW_MILLIS)
         val allowed = floor((coldPerSecond * bounds.coldFactor + bounds.coldSlack) / instances()).toInt()
         return times.size < allowed
     }
 
-    /** Records a request sent to a cold endpoint. */
-    public fun onSent(incarnation: Incarnation) {
-        val times = sent.getOrPut(incarnation, ::ArrayDeque)
-        times.addLast(nowMillis())
-        if (sent.size > COLD_ENTRIES_MAX) sent.values.removeIf { it.isEmpty() || it.last() < nowMillis() - COLD_WINDOW_MILLIS }
+    /** Records a request that is sent to [endpoint]. */
+    public fun onSent(endpoint: KnownEndpoint) {
+        if (!isCold(endpoint)) return
+        val from = clock.nowMillis() - COLD_WINDOW_MILLIS
+        if (sent.size > COLD_ENTRIES_MAX) sent.values.removeIf { it.isEmpty() || it.last() < from }
+        sent.getOrPut(endpoint.published.incarnation, ::ArrayDeque).addLast(clock.nowMillis())
     }
+
+    private fun isCold(endpoint: KnownEndpoint): Boolean = endpoint.coldUntilMillis > clock.nowMillis()
 }
 
 private fun ArrayDeque<Long>.dropBefore(timeMillis: Long) {
--- /dev/null
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/forward/EventBuffer.kt
@@ -0,0 +1,67 @@
+/** Cuts the bytes of a stream into whole server-sent events. */
+package pistachiopass.gateway.forward
+
+import io.netty.buffer.ByteBuf
+import io.netty.buffer.Unpooled
+
+/** Holds the bytes of events that are not whole yet. */
+internal class EventBuffer : AutoCloseable {
+    private val bytes: ByteBuf = Unpooled.buffer(INITIAL_BYTES)
+
+    /** Is true if bytes of an event that is not whole are held. */
+    val hasRest: Boolean get() = bytes.isReadable
+
+    /** Number of bytes that are held. */
+    val size: Int get() = bytes.readableBytes()
+
+    /** Takes [more], and releases it. */
+    fun add(more: ByteBuf) {
+        bytes.discardSomeReadBytes()
+        bytes.writeBytes(more)
+        more.release()
+    }
+
+    /** Returns the length of the next event including the blank line that ends it, or null if it is not whole. */
+    fun nextLengthOrNull(): Int? {
+        val start = bytes.readerIndex()
+        var lineStart = start
+        var lineEnd = bytes.indexOf(lineStart, bytes.writerIndex(), LINE_FEED)
+        while (lineEnd >= 0) {
+            if (isBlank(lineStart, lineEnd) && lineStart > start) return lineEnd + 1 - start
+            lineStart = lineEnd + 1
+            lineEnd = bytes.indexOf(lineStart, bytes.writerIndex(), LINE_FEED)
+        }
+        return null
+    }
+
+    /** Returns the number in the `id` line of the event in the next [length] bytes, or null. */
+    fun idOrNull(length: Int): Long? =
+        bytes.toString(bytes.readerIndex(), length, Charsets.ISO_8859_1)
+            .lineSequence()
+            .firstOrNull { it.startsWith(ID_FIELD) }
+            ?.removePrefix(ID_FIELD)
+            ?.trim()
+            ?.toLongOrNull()
+
+    /** Moves the next [length] bytes to [target]. */
+    fun moveTo(target: ByteBuf, length: Int) {
+        bytes.readBytes(target, length)
+    }
+
+    /** Drops the next [length] bytes. */
+    fun skip(length: Int) {
+        bytes.skipBytes(length)
+    }
+
+    override fun close() {
+        bytes.release()
+    }
+
+    private fun isBlank(lineStart: Int, lineEnd: Int): Boolean =
+        lineEnd == lineStart || (lineEnd == lineStart + 1 && bytes.getByte(lineStart) == CARRIAGE_RETURN)
+}
+
+private const val ID_FIELD: String = "id:"
+private const val LINE_FEED: Byte = '\n'.code.toByte()
+private const val CARRIAGE_RETURN: Byte = '\r'.code.toByte()
+private const val INITIAL_BYTES: Int = 4 * 1024
--- /dev/null
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/forward/ForwardHeads.kt
@@ -0,0 +1,70 @@
+/** Makes the head that an endpoint gets from the one that the caller sent. */
+package pistachiopass.gateway.forward
+
+import io.netty.handler.codec.http.DefaultHttpRequest
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpRequest
+import io.netty.handler.codec.http.HttpVersion
+import pistachiopass.gateway.WireFormat
+import pistachiopass.gateway.model.ForwardFacts
+import pistachiopass.gateway.model.Helper
+import pistachiopass.gateway.placement.Place
+
+/** Returns the head of [work] for [place], with method, target and end-to-end headers as the caller sent them. */
+internal fun forwardHeadOf(work: RequestWork, place: Place, helpers: List<Helper>, wire: WireFormat): HttpRequest {
+    val original = work.exchange.request
+    val head = DefaultHttpRequest(HttpVersion.HTTP_1_1, original.method(), original.uri())
+    head.headers().add(original.headers())
+    removeConnectionHeaders(head.headers())
+    val bodyBytes = work.exchange.body.readableBytes()
+    if (bodyBytes > 0 || original.method() !in BODILESS) head.headers().set(HttpHeaderNames.CONTENT_LENGTH, bodyBytes)
+    val relayed = work.answer.relay?.takeIf { it.hasBegun }?.lastEventId
+    val facts = ForwardFacts(
+        place.endpoint.id,
+        maxOf(1L, work.leftMillis()),
+        work.admitted.workspace,
+        urgencyOrNull(work),
+        helpers,
+        lastEventId = relayed?.toString() ?: work.facts.lastEventId,
+    )
+    wire.writeForward(head.headers(), facts)
+    return head
+}
+
+private fun removeConnectionHeaders(headers: HttpHeaders) {
+    headers.getAll(HttpHeaderNames.CONNECTION).flatMap { it.split(',') }.map { it.trim() }.forEach(headers::remove)
+    CONNECTION_HEADERS.forEach(headers::remove)
+}
+
+/** Returns the urgency from 0, the most urgent, to 9: the tighter the objective, the more urgent. */
+private fun urgencyOrNull(work: RequestWork): Int? {
+    if (work.admitted.service.engine == null) return null
+    val objectiveMillis = work.admitted.route.objectiveMillis
+    val rank = when {
+        objectiveMillis <= SHORT_OBJECTIVE_MILLIS -> 0
+        objectiveMillis <= MEDIUM_OBJECTIVE_MILLIS -> 1
+        else -> 2
+    }
+    val isHalfOver = work.elapsedMillis() * 2 > objectiveMillis
+    return rank + if (isHalfOver) URGENCY_LATE else URGENCY_EARLY
+}
+
+private val CONNECTION_HEADERS = listOf(
+    "Connection",
+    "Keep-Alive",
+    "Proxy-Connection",
+    "Transfer-Encoding",
+    "TE",
+    "Trailer",
+    "Upgrade",
+    "Expect",
+)
+private val BODILESS = setOf(HttpMethod.GET, HttpMethod.HEAD, HttpMethod.DELETE, HttpMethod.OPTIONS)
+
+/** Objectives beyond which a request is less urgent. */
+private const val SHORT_OBJECTIVE_MILLIS: Long = 500
+private const val MEDIUM_OBJECTIVE_MILLIS: Long = 2_000
+private const val URGENCY_LATE: Int = 1
+private const val URGENCY_EARLY: Int = 2
--- a/gateway/src/main/kotlin/pistachiopass/gateway/forward/Forwarder.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/forward/Forwarder.kt
@@ -10,10 +10,6 @@
 import com.github.michaelbull.result.getOrElse
 import io.netty.handler.codec.http.HttpHeaderNames
 import kotlinx.coroutines.withTimeoutOrNull
-import pistachiopass.entry.logging.Event
-import pistachiopass.entry.logging.EventLog
-import pistachiopass.entry.logging.field
-import pistachiopass.entry.logging.log
 import pistachiopass.gateway.WireFormat
 import pistachiopass.gateway.http.CallerExchange
 import pistachiopass.gateway.http.CallerHandler
@@ -33,7 +29,6 @@
     private val placement: Placement,
     private val repeats: RepeatBudget,
     private val sender: Sender,
-    private val log: EventLog = EventLog,
 ) : CallerHandler {
     override suspend fun serve(exchange: CallerExchange) {
         val facts = wire.readRequest(exchange.request.headers()).getOrElse {
@@ -41,24 +36,16 @@
             return
         }
         val admitted = admit(exchange, facts).getOrElse {
-            finish(exchange, facts, it)
+            exchange.refuse(it)
+            logRefused(facts, it, beliefs)
             return
         }
         repeats.onRequest(admitted.service.name)
-        val work = RequestWork(exchange, facts, admitted, wire)
-        val failure = withTimeoutOrNull(work.leftMillis()) { Ended(run(work)) }?.let { it.failure } ?: work.timeoutOrNull()
-        when {
-            work.isAnswered -> logFinished(work)
-            work.hasBegun -> {
-                exchange.abort()
-                logFailed(facts, failure ?: work.interrupted(), work)
-            }
-            else -> {
-                val told = failure ?: work.interrupted()
-                exchange.refuse(told)
-                logFailed(facts, told, work)
-            }
-        }
+        val resumedAfter = facts.lastEventId?.toLongOrNull()
+        val answer = CallerAnswer(exchange, wire, admitted.route.isStream, resumedAfter)
+        val work = RequestWork(exchange, facts, admitted, answer)
+        val ended = withTimeoutOrNull(work.leftMillis()) { Ended(run(work)) }
+        finish(work, if (ended == null) work.timeout() else ended.failure)
     }
 
     /** Distinguishes an end without a failure from the end of the time. */
@@ -69,97 +56,55 @@
         return admission.admit(facts, host, exchange.request.uri().substringBefore('?'))
     }
 
+    private fun finish(work: RequestWork, failure: Failure?) {
+        when {
+            work.answer.isDelivered || failure == null -> logFinished(work)
+            work.answer.hasBegun -> {
+                work.exchange.abort()
+                logFailed(work, failure)
+            }
+            else -> {
+                work.exchange.refuse(failure)
+                logFailed(work, failure)
+            }
+        }
+    }
+
+    /** Returns why the request could not be answered, or null if its caller has an answer. */
     private suspend fun run(work: RequestWork): Failure? {
-        while (true) {
-            val place = placeOrNull(work) ?: return work.lastFailure ?: noEndpoint(work)
+        var place = placeOrNull(work)
+        while (place != null) {
             val attempt = sender.attempt(work, place)
             work.record(attempt)
-            when (attempt) {
-                is Attempt.Answered -> return null
-                is Attempt.Failed -> {
-                    work.exclude(attempt.endpoint)
-                    if (!mayTryAgain(work, attempt)) return work.deliverFallbackOr(attempt.failure)
-                    log.log(
-                        Event.RETRY,
-                        work.facts.id,
-                        field("endpoint", attempt.endpoint.endpoint),
-                        field("code", attempt.failure.code),
-                        field("verdict", attempt.failure.verdict),
-                        field("runs", work.runs),
-                    )
-                }
-            }
+            if (attempt !is Attempt.Failed) return null
+            place = if (mayTryAgain(work, attempt)) placeOrNull(work) else null
+            if (place != null) logRetry(work, attempt)
         }
+        val failure = work.lastFailure ?: noEndpoint(work)
+        return if (work.answer.deliverKept()) null else work.overAll(failure)
     }
 
     private fun placeOrNull(work: RequestWork): Place? {
-        val endpoints = beliefs.endpointsOf(work.admitted.service.name).filter { sender.mayReceive(it, work) }
-        val place = placement.chooseOrNull(work.ask(), endpoints) ?: return null
-        log.log(
-            Event.ENDPOINT_CHOSEN,
-            work.facts.id,
-            field("endpoint", place.endpoint.id),
-            field("route", work.admitted.route.name),
-            field("helpers", place.helpers.size),
-            field("forecastMillis", place.forecastMillis.toLong()),
-            field("elapsedMillis", work.elapsedMillis()),
-            field("candidates", endpoints.size),
-            field("version", work.admitted.table.version),
-            field("proofAgeMillis", beliefs.proofAgeMillisOrNull() ?: -1),
-        )
-        return place
+        val endpoints = beliefs.endpoints.of(work.admitted.service.name).filter { sender.mayReceive(it, work) }
+        return placement.chooseOrNull(work.ask(), endpoints)?.also { logPlaced(work, it, endpoints.size, beliefs) }
     }
 
     private fun mayTryAgain(work: RequestWork, attempt: Attempt.Failed): Boolean {
         val route = work.admitted.route
         val isAllowed = attempt.failure.verdict == Verdict.NOT_RUN ||
             (route.runLimit.mayRepeat && work.runs < route.attemptsMax)
-        val hasTime = work.leftMillis() > TIME_FOR_ANOTHER_MILLIS && work.tries < TRIES_MAX
-        return isAllowed && hasTime && attempt.isFinal.not() &&
-            (!attempt.hasArrived || repeats.tryTake(work.admitted.service.name))
+        val isUseful = !attempt.isFinal && work.leftMillis() > TIME_FOR_ANOTHER_MILLIS && work.tries < TRIES_MAX
+        return isAllowed && isUseful && (!attempt.hasArrived || repeats.tryTake(work.admitted.service.name))
     }
-
-    private fun noEndpoint(work: RequestWork): Failure = Failure(
-        FailureCode.NO_ENDPOINT,
-        Verdict.NOT_RUN,
-        "no endpoint of ${work.admitted.service.name} can take the request",
-        retryAfterMillis = RETRY_AFTER_MILLIS,
-    )
-
-    private fun finish(exchange: CallerExchange, facts: RequestFacts, failure: Failure) {
-        exchange.refuse(failure)
-        log.log(
-            Event.REQUEST_FAILED,
-            facts.id,
-            field("code", failure.code),
-            field("verdict", failure.verdict),
-            field("version", beliefs.table?.version?.value ?: -1),
-            field("proofAgeMillis", beliefs.proofAgeMillisOrNull() ?: -1),
-        )
-    }
-
-    private fun logFinished(work: RequestWork) = log.log(
-        Event.REQUEST_FINISHED,
-        work.facts.id,
-        field("route", work.admitted.route.name),
-        field("status", work.answeredStatus),
-        field("firstMillis", work.firstMillis ?: -1),
-        field("totalMillis", work.elapsedMillis()),
-        field("tries", work.tries),
-    )
-
-    private fun logFailed(facts: RequestFacts, failure: Failure, work: RequestWork) = log.log(
-        Event.REQUEST_FAILED,
-        facts.id,
-        field("route", work.admitted.route.name),
-        field("code", failure.code),
-        field("verdict", failure.verdict),
-        field("isBegun", work.hasBegun),
-        field("tries", work.tries),
-        field("totalMillis", work.elapsedMillis()),
-    )
 }
 
+private fun noEndpoint(work: RequestWork): Failure = Failure(
+    FailureCode.NO_ENDPOINT,
+    Verdict.NOT_RUN,
+    "no endpoint of ${work.admitted.service.name} can take the request",
+    retryAfterMillis = RETRY_AFTER_MILLIS,
+)
+
 /** Time below which sending once more is of no use. */
 private const val TIME_FOR_ANOTHER_MILLIS: Long = 30
 
--- /dev/null
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/forward/Receiving.kt
@@ -0,0 +1,150 @@
+/** Judges the answer to one sending of a request and passes it on. */
+package pistachiopass.gateway.forward
+
+import io.netty.buffer.ByteBuf
+import io.netty.buffer.ByteBufUtil
+import io.netty.buffer.Unpooled
+import kotlinx.coroutines.withTimeoutOrNull
+import pistachiopass.gateway.http.UpstreamConnection
+import pistachiopass.gateway.model.AnswerFacts
+import pistachiopass.gateway.model.Incarnation
+import pistachiopass.gateway.placement.Place
+import pistachiopass.gateway.placement.PlacedWork
+import pistachiopass.model.Failure
+import pistachiopass.model.FailureCode
+import pistachiopass.model.Verdict
+
+/** A request that was sent to [place], where it is known as [placed]. */
+internal class Sending(val work: RequestWork, val place: Place, val placed: List<PlacedWork>) {
+    val incarnation: Incarnation get() = place.endpoint.published.incarnation
+}
+
+/** Receives the answer to [sending] on [connection]. */
+internal class Receiving(
+    private val sending: Sending,
+    private val connection: UpstreamConnection,
+    private val parts: SenderParts,
+) {
+    private val work = sending.work
+    private val incarnation = sending.incarnation
+    private val reader = AnswerReader(connection, parts.wire, work.facts.id)
+    private val sentNanos = System.nanoTime()
+    private var isReadEnded = false
+
+    /** Returns how the sending ended. */
+    suspend fun run(): Attempt {
+        val head = reader.headOrNull(silenceMillis().takeIf { work.mayRunElsewhere }) ?: return broken()
+        head.facts.load?.let { parts.records.load.stated(incarnation, it) }
+        return when {
+            head.facts.isNotExecuted -> refused(head.facts)
+            head.facts.isReencoded || (head.isSuccess && !head.facts.isStamped) -> broken()
+            head.isSuccess && work.answer.relay != null -> stream(head, work.answer.relay)
+            else -> whole(head)
+        }
+    }
+
+    /** Returns the silence after which an endpoint is taken for dead. */
+    private fun silenceMillis(): Long =
+        (sending.place.forecastMillis * SILENCE_FACTOR).toLong() +
+            maxOf(SILENCE_MIN_MILLIS, work.admitted.route.objectiveMillis)
+
+    /** The endpoint, or a helper that it names, refused and has not run the request. */
+    private suspend fun refused(facts: AnswerFacts): Attempt {
+        withTimeoutOrNull(REST_MILLIS) { discardBody() }
+        work.isSent = false
+        val guilty = facts.blamed
+            ?.let { address -> sending.place.helpers.find { it.published.address == address } }
+            ?.published?.incarnation ?: incarnation
+        parts.records.health.onFailure(guilty, REFUSED_WEIGHT)
+        val failure = Failure(
+            FailureCode.OVERLOADED,
+            Verdict.NOT_RUN,
+            "the endpoint refused the request",
+            retryAfterMillis = BUSY_RETRY_MILLIS,
+            endpoint = guilty.endpoint,
+        )
+        return Attempt.Failed(guilty, failure, hasArrived = true)
+    }
+
+    private suspend fun discardBody() {
+        val rest = Unpooled.buffer()
+        try {
+            reader.readBody(rest, WHOLE_MAX_BYTES)
+        } finally {
+            rest.release()
+        }
+    }
+
+    private suspend fun whole(head: AnswerHead): Attempt {
+        val body = Unpooled.buffer()
+        return try {
+            if (reader.readBody(body, WHOLE_MAX_BYTES)) judged(head, body) else broken()
+        } finally {
+            body.release()
+        }
+    }
+
+    private fun judged(head: AnswerHead, body: ByteBuf): Attempt {
+        readEnded()
+        val isFailure = head.status >= SERVER_ERROR
+        val health = parts.records.health
+        if (isFailure) health.onFailure(incarnation, ERROR_WEIGHT) else health.onSuccess(incarnation)
+        return if (isFailure && work.mayRunElsewhere) {
+            work.answer.keep(KeptAnswer(head.status, head.response.headers(), ByteBufUtil.getBytes(body)))
+            failed("the endpoint answered ${head.status}")
+        } else {
+            work.answer.deliver(head.status, head.response.headers(), body.retain())
+            Attempt.Answered
+        }
+    }
+
+    private suspend fun stream(head: AnswerHead, relay: StreamRelay): Attempt {
+        work.answer.streamBegins(head.response)
+        if (relay.relay(connection, ::readEnded) == StreamEnd.BROKEN) return broken()
+        parts.records.health.onSuccess(incarnation)
+        work.answer.endStream()
+        return Attempt.Answered
+    }
+
+    private fun readEnded() {
+        if (isReadEnded) return
+        isReadEnded = true
+        val actualMillis = (System.nanoTime() - sentNanos) / NANOS_PER_MILLI
+        sending.placed.forEach {
+            parts.records.load.readEnded(it, sending.place.forecastMillis, actualMillis.toDouble())
+        }
+    }
+
+    private fun broken(): Attempt {
+        parts.records.health.onFailure(incarnation, BROKEN_WEIGHT)
+        return failed("the endpoint did not answer in full")
+    }
+
+    private fun failed(message: String): Attempt {
+        val failure = Failure(
+            FailureCode.ENDPOINT_FAILED,
+            Verdict.MAY_HAVE_RUN,
+            message,
+            endpoint = incarnation.endpoint,
+        )
+        return Attempt.Failed(incarnation, failure, hasArrived = true)
+    }
+}
+
+private const val SERVER_ERROR: Int = 500
+
+/** Longest answer of a plain service that is held until it is whole. */
+private const val WHOLE_MAX_BYTES: Int = 4 * 1024 * 1024
+
+/** An endpoint is taken for dead after this many forecasts and at least this time without a byte. */
+private const val SILENCE_FACTOR: Double = 2.0
+private const val SILENCE_MIN_MILLIS: Long = 500
+
+/** Time for the rest of a refusal to arrive. */
+private const val REST_MILLIS: Long = 100
+
+/** Weights of outcomes in an endpoint's score, in which 1 arouses suspicion. */
+private const val BROKEN_WEIGHT: Double = 0.7
+private const val ERROR_WEIGHT: Double = 0.4
+private const val REFUSED_WEIGHT: Double = 0.5
+private const val NANOS_PER_MILLI: Long = 1_000_000
--- a/gateway/src/main/kotlin/pistachiopass/gateway/forward/Reservations.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/forward/Reservations.kt
@@ -84,7 +84,7 @@
     }
 }
 
-/** Returns the time for which a reservation is held at once, so that it ends within [freeMillis] of its last renewal. */
+/** Returns the time for which a reservation is held at once, so that it ends within [freeMillis] of a renewal. */
 internal fun holdMillisOf(freeMillis: Double, holdMaxMillis: Double): Long =
     minOf(freeMillis * HOLD_PART, holdMaxMillis).toLong()
 
--- a/gateway/src/main/kotlin/pistachiopass/gateway/forward/StreamRelay.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/forward/StreamRelay.kt
@@ -15,7 +15,7 @@
 /** Tells how one endpoint's part of a stream ended. */
 internal enum class StreamEnd { WHOLE, BROKEN }
 
-/** Relays one stream to one caller. */
+/** Relays one stream to one caller; [begin] is called before the first event. */
 internal class StreamRelay(
     private val exchange: CallerExchange,
     private val begin: () -> Unit,
@@ -29,82 +29,71 @@
     var hasBegun: Boolean = false
         private set
 
-    private var pending: ByteBuf = Unpooled.EMPTY_BUFFER
+    /** Passes on what [connection] delivers until its answer ends; [onEvents] is called before events are passed on. */
+    suspend fun relay(connection: UpstreamConnection, onEvents: () -> Unit): StreamEnd =
+        EventBuffer().use { buffer ->
+            var end: StreamEnd? = null
+            while (end == null) end = relayPart(connection.receive(), buffer, connection, onEvents)
+            end
+        }
 
-    /** Passes on what [connection] delivers until its answer ends. */
-    suspend fun relay(connection: UpstreamConnection, onEvent: () -> Unit): StreamEnd {
-        pending = Unpooled.buffer(PENDING_BYTES)
-        try {
-            while (true) {
-                when (val part = connection.receive()) {
-                    is Part.Data -> {
-                        pending.writeBytes(part.bytes)
-                        part.bytes.release()
-                        if (!passOn(connection, onEvent)) return StreamEnd.BROKEN
-                    }
-                    is Part.End -> return if (pending.isReadable) StreamEnd.BROKEN else StreamEnd.WHOLE
-                    is Part.Broken -> return StreamEnd.BROKEN
-                    is Part.Head -> return StreamEnd.BROKEN
-                }
+    private suspend fun relayPart(
+        part: Part,
+        buffer: EventBuffer,
+        connection: UpstreamConnection,
+        onEvents: () -> Unit,
+    ): StreamEnd? =
+        when (part) {
+            is Part.Data -> {
+                buffer.add(part.bytes)
+                if (passOn(buffer, connection, onEvents)) null else StreamEnd.BROKEN
             }
-        } finally {
-            pending.release()
+            is Part.End -> if (buffer.hasRest) StreamEnd.BROKEN else StreamEnd.WHOLE
+            is Part.Broken, is Part.Head -> StreamEnd.BROKEN
         }
-    }
 
-    private suspend fun passOn(connection: UpstreamConnection, onEvent: () -> Unit): Boolean {
-        val whole = Unpooled.buffer(pending.readableBytes())
+    /** Passes on the whole events of [buffer]; returns false if they do not follow on the last one. */
+    private suspend fun passOn(buffer: EventBuffer, connection: UpstreamConnection, onEvents: () -> Unit): Boolean {
+        val whole = Unpooled.buffer(buffer.size)
         var isInOrder = true
-        while (isInOrder) {
-            val length = pending.eventLengthOrNull() ?: break
-            val id = pending.eventIdOrNull(length)
-            val last = lastEventId
-            when {
-                id == null || last == null || id == last + 1 -> pending.readBytes(whole, length)
-                id <= last -> pending.skipBytes(length)
-                else -> isInOrder = false
-            }
-            if (isInOrder && id != null && (last == null || id > last)) lastEventId = id
+        var length = buffer.nextLengthOrNull()
+        while (isInOrder && length != null) {
+            isInOrder = take(buffer, length, whole)
+            length = buffer.nextLengthOrNull()
         }
-        pending.discardSomeReadBytes()
-        if (whole.isReadable) write(whole, connection, onEvent) else whole.release()
-        return isInOrder && pending.readableBytes() <= EVENT_MAX_BYTES
+        if (whole.isReadable) write(whole, connection, onEvents) else whole.release()
+        return isInOrder && buffer.size <= EVENT_MAX_BYTES
     }
 
-    private suspend fun write(events: ByteBuf, connection: UpstreamConnection, onEvent: () -> Unit) {
-        if (!hasBegun) begin()
-        hasBegun = true
-        onEvent()
-        if (!exchange.isWritable) connection.setReading(false)
-        exchange.write(events)
-        connection.setReading(true)
+    private fun take(buffer: EventBuffer, length: Int, target: ByteBuf): Boolean {
+        val last = lastEventId ?: UNKNOWN_ID
+        val id = buffer.idOrNull(length) ?: UNKNOWN_ID
+        val isKnown = id != UNKNOWN_ID && last != UNKNOWN_ID
+        val isInOrder = !isKnown || id <= last + 1
+        when {
+            isKnown && id <= last -> buffer.skip(length)
+            isInOrder -> buffer.moveTo(target, length)
+        }
+        if (isInOrder && id > last) lastEventId = id
+        return isInOrder
     }
-}
 
-/** Returns the length of the first event including the blank line that ends it, or null if it is not whole. */
-internal fun ByteBuf.eventLengthOrNull(): Int? {
-    var position = readerIndex()
-    while (true) {
-        val lineEnd = indexOf(position, writerIndex(), LINE_FEED)
-        if (lineEnd < 0) return null
-        val isBlank = lineEnd == position || (lineEnd == position + 1 && getByte(position) == CARRIAGE_RETURN)
-        if (isBlank && position > readerIndex()) return lineEnd + 1 - readerIndex()
-        position = lineEnd + 1
+    private suspend fun write(events: ByteBuf, connection: UpstreamConnection, onEvents: () -> Unit) {
+        onEvents()
+        if (!hasBegun) begin()
+        hasBegun = true
+        if (exchange.isWritable) {
+            exchange.write(events)
+        } else {
+            connection.setReading(false)
+            exchange.write(events)
+            connection.setReading(true)
+        }
     }
 }
 
-/** Returns the number in the `id` line of the event in the first [length] bytes, or null. */
-internal fun ByteBuf.eventIdOrNull(length: Int): Long? =
-    toString(readerIndex(), length, Charsets.ISO_8859_1)
-        .lineSequence()
-        .firstOrNull { it.startsWith("id:") }
-        ?.removePrefix("id:")
-        ?.trim()
-        ?.toLongOrNull()
-
-private const val LINE_FEED: Byte = '\n'.code.toByte()
-private const val CARRIAGE_RETURN: Byte = '\r'.code.toByte()
-private const val PENDING_BYTES: Int = 4 * 1024
+/** Stands for the id of an event that states none; ids are not negative. */
+private const val UNKNOWN_ID: Long = -1
 
 /** Longest event that is held; an endpoint must not fill the instance's memory. */
 private const val EVENT_MAX_BYTES: Int = 256 * 1024
--- a/gateway/src/main/kotlin/pistachiopass/gateway/http/CallerConnection.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/http/CallerConnection.kt
@@ -110,7 +110,7 @@
                 return
             }
             reading = ReadRequest(message, Unpooled.compositeBuffer(BODY_COMPONENTS), System.nanoTime())
-            if (HttpUtil.is100ContinueExpected(message)) sendContinue()
+            if (HttpUtil.is100ContinueExpected(message)) channel.writeAndFlush(continueAnswer())
         }
         if (message is HttpContent) readContent(message)
     }
@@ -149,12 +149,6 @@
         }
     }
 
-    private fun sendContinue() {
-        channel.writeAndFlush(
-            DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE),
-        )
-    }
-
     private fun refuse(status: HttpResponseStatus, text: String) {
         isRefused = true
         reading?.body?.release()
@@ -236,6 +230,8 @@
     }
 }
 
+private fun continueAnswer() = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE)
+
 /** Returns why [request] cannot be served whatever its route, or null. */
 private fun problemOf(request: HttpRequest): Pair<HttpResponseStatus, String>? {
     val failure = request.decoderResult().cause()
--- a/gateway/src/main/kotlin/pistachiopass/gateway/http/CallerExchange.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/http/CallerExchange.kt
@@ -1,4 +1,4 @@
-/** One request of a caller and the ways to answer it; an interface, so that forwarding is testable without a network. */
+/** One request of a caller and the ways to answer it, apart from any network. */
 package pistachiopass.gateway.http
 
 import io.netty.buffer.ByteBuf
@@ -24,7 +24,7 @@
     /** Begins an answer whose length is not known. */
     public fun begin(status: Int, headers: HttpHeaders)
 
-    /** Sends a part of an answer that was begun, takes ownership of [bytes], and waits while the caller reads slowly. */
+    /** Sends a part of an answer that was begun, owns [bytes], and waits while the caller reads slowly. */
     public suspend fun write(bytes: ByteBuf)
 
     /** Ends an answer that was begun, as whole. */
--- a/gateway/src/main/kotlin/pistachiopass/gateway/http/UpstreamPool.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/http/UpstreamPool.kt
@@ -52,10 +52,10 @@
     fun closeAll(): Unit = trim { false }
 
     private fun keptOrNull(key: K, idleMaxMillis: Long): UpstreamConnection? {
-        val connections = idle[key] ?: return null
+        val connections = idle[key] ?: ArrayDeque()
         while (true) {
-            val last = connections.removeLastOrNull() ?: return null
-            if (isFresh(last, idleMaxMillis)) return last.connection
+            val last = connections.removeLastOrNull()
+            if (last == null || isFresh(last, idleMaxMillis)) return last?.connection
             last.connection.close()
         }
     }
--- a/gateway/src/main/kotlin/pistachiopass/gateway/peers/Peers.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/peers/Peers.kt
@@ -64,8 +64,8 @@
 
     private suspend fun greetings() {
         while (true) {
-            val greeting = Greeting(membership.live().entries.shuffled().take(GREETING_MEMBERS).associate { it.toPair() })
-            send(membership.greeted(), greeting)
+            val told = membership.live().entries.shuffled().take(GREETING_MEMBERS)
+            send(membership.greeted(), Greeting(told.associate { it.toPair() }))
             noteChanges()
             delay(GREETING_MILLIS)
         }
@@ -85,7 +85,7 @@
     private suspend fun proofs() {
         while (true) {
             delay(PROOF_MILLIS)
-            if (beliefs.table == null || beliefs.isProvedWithin(PROOF_WANTED_MILLIS)) continue
+            if (beliefs.table == null || beliefs.proofs.isWithin(PROOF_WANTED_MILLIS)) continue
             askedMillis[++questions] = clock.nowMillis()
             while (askedMillis.size > QUESTIONS_MAX) askedMillis.remove(askedMillis.keys.first())
             send(membership.live().keys.shuffled().take(PROOF_ASKED).toSet(), ProofQuestion(questions))
@@ -118,14 +118,14 @@
     }
 
     private fun answerProof(sender: String, question: ProofQuestion) {
-        val ageMillis = beliefs.storeProofAgeMillisOrNull() ?: return
+        val ageMillis = beliefs.proofs.storeAgeMillisOrNull() ?: return
         send(setOf(sender), ProofAnswer(question.nonce, beliefs.operatorRevision.value, ageMillis))
     }
 
     private fun takeProof(answer: ProofAnswer) {
         val askedAtMillis = askedMillis[answer.nonce] ?: return
         if (answer.operatorRevision == beliefs.operatorRevision.value) {
-            beliefs.provedByPeer(askedAtMillis - answer.ageMillis)
+            beliefs.proofs.byPeer(askedAtMillis - answer.ageMillis)
         }
     }
 
@@ -145,7 +145,7 @@
 private const val GREETING_MILLIS: Long = 500
 private const val GREETING_MEMBERS: Int = 24
 
-/** Time for which news of placed work is gathered; below the time that a request takes to reach its endpoint and begin. */
+/** Time for which news of placed work is gathered; below the time in which a request begins. */
 private const val NEWS_MILLIS: Long = 10
 
 /** Works in one datagram, so that it fits a frame. */
--- a/gateway/src/main/kotlin/pistachiopass/gateway/placement/EndpointHealth.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/placement/EndpointHealth.kt
@@ -41,7 +41,11 @@
         score.value = minOf(before + weight, SCORE_MAX)
         score.atMillis = nowMillis()
         if (before < SUSPICION && score.value >= SUSPICION) {
-            log.log(Event.ENDPOINT_SUSPECTED, field("endpoint", endpoint.endpoint), field("scorePercent", (score.value * PERCENT).toInt()))
+            log.log(
+                Event.ENDPOINT_SUSPECTED,
+                field("endpoint", endpoint.endpoint),
+                field("scorePercent", (score.value * PERCENT).toInt())
+            )
         }
     }
 
--- a/gateway/src/main/kotlin/pistachiopass/gateway/placement/Placement.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/placement/Placement.kt
@@ -1,10 +1,10 @@
 /**
  * Places requests on endpoints by forecast.
  *
- * Load that this answers: prompts of a thousand to a million tokens on the same engines. One long prompt that is read by
- * one engine misses its own objective and holds up every writer there beyond the pause that its caller bears. So a long
- * prompt is read by several engines at once, chosen where few requests write, and short prompts gather on engines that
- * write already, up to their batch slots, which leaves others free of writers. Nothing is reserved for either.
+ * Load that this answers: prompts of a thousand to a million tokens on the same engines. One long prompt that is read
+ * by one engine misses its own objective and holds up every writer there beyond the pause that its caller bears. So a
+ * long prompt is read by several engines at once, chosen where few requests write, and short prompts gather on engines
+ * that write already, up to their batch slots, which leaves others free of writers. Nothing is reserved for either.
  *
  * Each choice has the least expected cost: the chance that the request itself is late, weighed by its size, plus the
  * chance that writers there pause for too long.
@@ -78,7 +78,10 @@
         candidates: List<KnownEndpoint>,
     ): EnginePlacement {
         val now = nowMillis()
-        val views = candidates.map { EngineView(it, load.at(it.published.incarnation), health.penalty(it.published.incarnation), engine, now) }
+        val views = candidates.map {
+            val incarnation = it.published.incarnation
+            EngineView(it, load.at(incarnation), health.penalty(incarnation), engine, now)
+        }
         return EnginePlacement(ask, engine, prompt, views)
     }
 }
@@ -97,7 +100,8 @@
     val writers: Int = work.writers
     val contextTokens: Long = work.contextTokens
     val passMillis: Double = if (requests > 0) engine.passMillis(maxOf(writers, 1), contextTokens) * slowness else 0.0
-    private val pauses: List<Long> = work.placed.filter { it.hint.writeMillis > 0 && it.hint.pauseMillis > 0 }.map { it.hint.pauseMillis }
+    private val pauses: List<Long> =
+        work.placed.filter { it.hint.writeMillis > 0 }.map { it.hint.pauseMillis }.filter { it > 0 }
 
     /** Returns the expected number of writers here that pause too long if [readMillis] more is read in one pass. */
     fun harm(readMillis: Double): Double {
@@ -133,8 +137,10 @@
     private fun costAlone(view: EngineView): Double = costOf(listOf(view)) - gathering(view)
 
     /** Prefers engines that write already, for short prompts only, while their batch has room. */
-    private fun gathering(view: EngineView): Double =
-        if (readMillis > GATHER_READ_MILLIS || view.requests > engine.slots * GATHER_PART) 0.0 else view.writers * GATHER_WEIGHT
+    private fun gathering(view: EngineView): Double {
+        val mayGather = readMillis <= GATHER_READ_MILLIS && view.requests <= engine.slots * GATHER_PART
+        return if (mayGather) view.writers * GATHER_WEIGHT else 0.0
+    }
 
     private fun jointOptions(): List<Option> {
         val partOf = { count: Int -> readMillis / count }
@@ -175,7 +181,10 @@
         val wide = maxOf(count, minOf(RESERVED_COUNT, views.size))
         if (count > views.size) return null
         val tokens = ceil(contextTokens.toDouble() / wide).toLong()
-        val ranked = views.sortedBy { marginal(it, readMillis / wide) + if (it.freeTokens() < tokens) TIGHT_WEIGHT * ownWeight else 0.0 }
+        val ranked = views.sortedBy {
+            val tight = if (it.freeTokens() < tokens) TIGHT_WEIGHT * ownWeight else 0.0
+            marginal(it, readMillis / wide) + tight
+        }
         return placeOf(Option(ranked.take(wide), 0.0), tokens)
     }
 
@@ -198,7 +207,7 @@
     }
 }
 
-/** Returns the chance from 0 to 1 of missing a bound, of which the forecast uses the part [ratio]; grows slowly past 1. */
+/** Returns the chance of missing a bound of which the forecast uses the part [ratio]; it grows slowly past 1. */
 internal fun risk(ratio: Double): Double =
     when {
         ratio <= RISK_FROM -> 0.0
@@ -207,7 +216,8 @@
     }
 
 /** Numbers of engines that are weighed for reading one prompt together; the wire allows 17. */
-private val JOINT_COUNTS: List<Int> = listOf(2, 3, 4, 6, 8, 10, 12, 14, 16)
+private val JOINT_COUNTS: IntRange = 2..JOINT_MAX
+private const val JOINT_MAX: Int = 16
 
 /** Reading time from which on joint reading is weighed: well over the time of the orders and hops that it needs. */
 private const val JOINT_READ_MILLIS: Double = 100.0
--- /dev/null
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/state/Proofs.kt
@@ -0,0 +1,49 @@
+/** How old the proof is that what the instance believes is current. */
+package pistachiopass.gateway.state
+
+import pistachiopass.entry.logging.Event
+import pistachiopass.entry.logging.EventLog
+import pistachiopass.entry.logging.field
+import pistachiopass.entry.logging.log
+
+/** Keeps when the published state was last proved, by the store and by other instances. */
+public class Proofs internal constructor(private val clock: AgeClock, private val log: EventLog) {
+    private var storeMillis: Long? = null
+    private var peerMillis: Long? = null
+    private var regainedMillis: Long? = null
+
+    /** Returns the time since the operator's documents were last proved current, or null if they never were. */
+    public fun ageMillisOrNull(): Long? {
+        val provedMillis = listOfNotNull(storeMillis, peerMillis).maxOrNull()
+        return provedMillis?.let { clock.nowMillis() - it }
+    }
+
+    /** Returns the time since the store itself last proved the published state, or null if it never did. */
+    public fun storeAgeMillisOrNull(): Long? = storeMillis?.let { clock.nowMillis() - it }
+
+    /** Is true if the operator's documents were proved current within [limitMillis]. */
+    public fun isWithin(limitMillis: Long): Boolean = ageMillisOrNull()?.let { it <= limitMillis } ?: false
+
+    /** Is true if the store came back after an outage within the last [windowMillis]. */
+    public fun isRegainedWithin(windowMillis: Long): Boolean =
+        regainedMillis?.let { clock.nowMillis() - it < windowMillis } ?: false
+
+    /** Records that another instance proved the operator's documents current as of [atMillis] on the age clock. */
+    public fun byPeer(atMillis: Long) {
+        peerMillis = maxOf(peerMillis ?: atMillis, atMillis)
+    }
+
+    /** Records that the store gave the state as of [atMillis] on the age clock. */
+    public fun byStore(atMillis: Long) {
+        val before = storeMillis
+        if (before != null && atMillis <= before) return
+        if (before != null && atMillis - before > OUTAGE_MILLIS) {
+            regainedMillis = clock.nowMillis()
+            log.log(Event.STATE_PROVED_AGAIN, field("gapMillis", atMillis - before))
+        }
+        storeMillis = atMillis
+    }
+}
+
+/** Gap between two proofs from which on the store counts as having been away: two watches that found nothing. */
+private const val OUTAGE_MILLIS: Long = 2_500
--- a/gateway/src/main/kotlin/pistachiopass/gateway/state/StateWatch.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/state/StateWatch.kt
@@ -62,7 +62,7 @@
     private fun succeeded(askedAtMillis: Long) {
         if (failures > 0) log.log(Event.PLATFORM_BACK, field("failures", failures))
         failures = 0
-        beliefs.proved(askedAtMillis)
+        beliefs.proofs.byStore(askedAtMillis)
     }
 
     private fun failed(problem: StateProblem) {
@@ -70,7 +70,7 @@
             log.log(
                 Event.PLATFORM_UNREACHABLE,
                 field("problem", problem),
-                field("proofAgeMillis", beliefs.proofAgeMillisOrNull() ?: -1),
+                field("proofAgeMillis", beliefs.proofs.ageMillisOrNull() ?: -1),
             )
         }
         if (problem == StateProblem.HISTORY_GONE) return
