--- a/gateway/src/main/kotlin/pistachiopass/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/Gateway.kt
@@ -11,6 +11,7 @@
 import kotlinx.coroutines.Deferred
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.asCoroutineDispatcher
+import kotlinx.coroutines.cancel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withContext
@@ -46,6 +47,7 @@
 import pistachiopass.gateway.state.StateWatch
 import pistachiopass.gateway.state.ageClockOf
 import pistachiopass.gateway.state.beliefsOf
+import java.util.concurrent.TimeUnit
 
 /** Makes the parts of a platform's adapter, which call out through the HTTP client that they are given. */
 public interface PlatformAdapter {
@@ -126,6 +128,12 @@
         listeners.forEach { it.close() }
     }
 
+    /** Ends all at once. */
+    public fun close() {
+        scope.cancel()
+        group.shutdownGracefully(0, CLOSE_MILLIS, TimeUnit.MILLISECONDS).syncUninterruptibly()
+    }
+
     private fun isReady(): Boolean =
         !isStopping && beliefs.table != null && beliefs.proofs.isWithin(READY_PROOF_MILLIS)
 
@@ -195,5 +203,6 @@
 
 /** Time kept free at the end of the grace to exit. */
 private const val STOP_MARGIN_MILLIS: Long = 600
+private const val CLOSE_MILLIS: Long = 500
 private const val MILLIS_PER_SECOND: Double = 1_000.0
 private const val NANOS_PER_MILLI: Long = 1_000_000
--- /dev/null
+++ b/gateway/src/test/kotlin/pistachiopass/gateway/forward/BudgetsTest.kt
@@ -0,0 +1,65 @@
+/** Shows that limits summed over all instances hold however many of the instances spend their part. */
+package pistachiopass.gateway.forward
+
+import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.TestFactory
+import pistachiopass.gateway.ASSISTANT
+import pistachiopass.gateway.StateSnapshot
+import pistachiopass.gateway.casesOf
+import pistachiopass.gateway.endpointItem
+import pistachiopass.gateway.endpointOf
+import pistachiopass.gateway.model.Revision
+import pistachiopass.gateway.settings.BoundSettings
+import pistachiopass.gateway.state.beliefsOf
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+private data class Fleet(val instances: Int, val assumed: Int, val requestsEach: Int, val slack: Double)
+
+private data class Cold(val perSecond: Double, val assumed: Int, val taken: Int)
+
+class BudgetsTest {
+    @TestFactory
+    fun `repeats of all instances stay within the share and the slack in each window`(): List<DynamicTest> = casesOf(
+        listOf(
+            Fleet(instances = 8, assumed = 12, requestsEach = 0, slack = 104.0),
+            Fleet(instances = 11, assumed = 12, requestsEach = 40, slack = 104.0),
+            Fleet(instances = 90, assumed = 135, requestsEach = 3, slack = 244.0),
+        ),
+    ) { fleet ->
+        val bounds = BoundSettings(repeatShare = 0.2, repeatSlack = fleet.slack)
+        var nowMillis = 0L
+        val budgets = List(fleet.instances) { RepeatBudget(bounds, { fleet.assumed }, { nowMillis }) }
+        budgets.forEach { budget -> repeat(fleet.requestsEach) { budget.onRequest(ASSISTANT) } }
+        nowMillis = 9_999
+        val repeats = budgets.sumOf { budget -> generateSequence { budget.tryTake(ASSISTANT) }.takeWhile { it }.count() }
+        val bound = 0.2 * fleet.instances * fleet.requestsEach + fleet.slack
+        assertTrue(repeats <= bound, "$repeats repeats, bound $bound")
+        assertTrue(repeats > 0, "no repeat at all")
+    }
+
+    @TestFactory
+    fun `a cold endpoint gets its part of the published rate`(): List<DynamicTest> = casesOf(
+        listOf(
+            Cold(perSecond = 38.0, assumed = 12, taken = 5),
+            Cold(perSecond = 2.0, assumed = 12, taken = 0),
+            Cold(perSecond = 2.0, assumed = 8, taken = 1),
+        ),
+    ) { cold ->
+        var nowMillis = 0L
+        val beliefs = beliefsOf({ nowMillis })
+        val item = endpointItem(2, "e1", endpointOf("e1", coldMillis = 3_000))
+        beliefs.applyChanges(StateSnapshot(Revision(2), listOf(item)))
+        val endpoint = beliefs.endpoints.of(ASSISTANT).single()
+        val budget = ColdBudget(BoundSettings(coldFactor = 1.5, coldSlack = 5.0), { cold.assumed }, { nowMillis })
+        var taken = 0
+        while (budget.mayTake(endpoint, cold.perSecond) && taken < 100) {
+            budget.onSent(endpoint)
+            taken++
+            nowMillis += 1
+        }
+        assertEquals(cold.taken, taken)
+        nowMillis = 3_001
+        assertTrue(budget.mayTake(endpoint, cold.perSecond), "warm after its time")
+    }
+}
