--- a/entry/src/main/kotlin/pistachiopass/entry/logging/Event.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/logging/Event.kt
@@ -15,6 +15,7 @@
     READY(number = 1002, Level.INFO, "The instance serves callers."),
     SETTINGS_REFUSED(number = 1003, Level.ERROR, "The settings have errors; the process exits with code 2."),
     SETTINGS_CHANGED(number = 1004, Level.INFO, "The process was told that its settings file changed."),
+    WARMED_UP(number = 1005, Level.INFO, "The request path was warmed up; requests and time are given."),
     STOP_BEGUN(number = 1010, Level.INFO, "A graceful stop begins; no new requests are admitted."),
     STOP_STEP(number = 1011, Level.INFO, "A step of the stop is complete."),
     STOP_DONE(number = 1012, Level.INFO, "The stop is complete and the process exits."),
--- a/gateway/src/main/kotlin/pistachiopass/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/Gateway.kt
@@ -23,6 +23,7 @@
 import pistachiopass.gateway.forward.EndpointRecords
 import pistachiopass.gateway.forward.Forwarder
 import pistachiopass.gateway.forward.RepeatBudget
+import pistachiopass.gateway.forward.RequestLog
 import pistachiopass.gateway.forward.Reservations
 import pistachiopass.gateway.forward.Sender
 import pistachiopass.gateway.forward.SenderParts
@@ -87,9 +88,11 @@
         beliefs,
         load,
         clock,
+        scope,
     )
     private val forwarder = forwarder(adapter)
     private var isStopping = false
+    private var isWarm = false
     private var listeners: List<Channel> = emptyList()
 
     /** Starts to serve and returns once the instance is ready or [stopAsked]. */
@@ -102,9 +105,13 @@
             listen(group, addressOf(settings.callerAddress)) { serveCallers(it, callers) },
             listen(group, addressOf(settings.readyAddress)) { serveCallers(it, probes) },
         )
-        peers.start(scope, eventLoop)
+        peers.start(eventLoop)
         scope.launch { StateWatch(source, beliefs, clock).run() }
         scope.launch { housekeeping() }
+        scope.launch {
+            WarmUp(wire, eventLoop, group, settings, scope).run { connections.size > 0 }
+            isWarm = true
+        }
         while (!isReady() && !stopAsked.isCompleted) delay(READY_POLL_MILLIS)
         EventLog.log(Event.READY, field("instance", settings.instance))
     }
@@ -135,7 +142,7 @@
     }
 
     private fun isReady(): Boolean =
-        !isStopping && beliefs.table != null && beliefs.proofs.isWithin(READY_PROOF_MILLIS)
+        !isStopping && isWarm && beliefs.table != null && beliefs.proofs.isWithin(READY_PROOF_MILLIS)
 
     private fun seedHosts(): List<String> = settings.seeds.mapNotNull { addressOrNull(it)?.host }
 
@@ -156,11 +163,11 @@
         val repeats = RepeatBudget(settings.bounds, instances, clock::nowMillis)
         return Forwarder(
             wire,
-            beliefs,
             admission,
             Placement(load, health, ::steadyMillis),
             repeats,
             Sender(pool, parts),
+            RequestLog(EventLog, beliefs),
         )
     }
 
--- a/gateway/src/main/kotlin/pistachiopass/gateway/Ports.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/Ports.kt
@@ -11,12 +11,14 @@
 import pistachiopass.gateway.model.Address
 import pistachiopass.gateway.model.AnswerFacts
 import pistachiopass.gateway.model.ForwardFacts
+import pistachiopass.gateway.model.PromptSize
 import pistachiopass.gateway.model.PublishedEndpoint
 import pistachiopass.gateway.model.RequestFacts
 import pistachiopass.gateway.model.Revision
 import pistachiopass.gateway.model.RoutingTable
 import pistachiopass.model.DataCentreId
 import pistachiopass.model.EndpointId
+import pistachiopass.model.RequestId
 
 /** Translates between the headers on the wire and the product's facts. */
 public interface WireFormat {
@@ -32,6 +34,12 @@
     /** Returns what the head of an endpoint's answer proves. */
     public fun readAnswer(status: Int, headers: HttpHeaders): AnswerFacts
 
+    /** Sets in [headers] what a caller states, for a request of the instance's own. */
+    public fun writeOwnRequest(headers: HttpHeaders, id: RequestId, prompt: PromptSize)
+
+    /** Sets in [headers] what an endpoint states in its answer to the request [id]. */
+    public fun writeOwnAnswer(headers: HttpHeaders, id: RequestId)
+
     /** Removes from [headers], an endpoint's, what concerns only the connection to the endpoint. */
     public fun writeAnswer(headers: HttpHeaders)
 }
--- a/gateway/src/main/kotlin/pistachiopass/gateway/Process.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/Process.kt
@@ -3,11 +3,13 @@
 
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.runBlocking
+import org.apache.logging.log4j.LogManager
 import pistachiopass.entry.logging.Event
 import pistachiopass.entry.logging.EventLog
 import pistachiopass.entry.logging.log
 import pistachiopass.gateway.settings.GatewaySettings
 import sun.misc.Signal
+import kotlin.system.exitProcess
 
 /** Starts an instance, waits for SIGTERM and stops it in order. */
 public fun runInstance(settings: GatewaySettings, adapter: PlatformAdapter) {
@@ -20,5 +22,6 @@
         stopAsked.await()
         gateway.stop()
     }
-    Runtime.getRuntime().halt(0)
+    LogManager.shutdown()
+    exitProcess(0)
 }
--- a/gateway/src/main/kotlin/pistachiopass/gateway/forward/Forwarder.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/forward/Forwarder.kt
@@ -16,7 +16,6 @@
 import pistachiopass.gateway.model.RequestFacts
 import pistachiopass.gateway.placement.Place
 import pistachiopass.gateway.placement.Placement
-import pistachiopass.gateway.state.Beliefs
 import pistachiopass.model.Failure
 import pistachiopass.model.FailureCode
 import pistachiopass.model.Verdict
@@ -24,11 +23,11 @@
 /** Serves callers' requests. */
 internal class Forwarder(
     private val wire: WireFormat,
-    private val beliefs: Beliefs,
     private val admission: Admission,
     private val placement: Placement,
     private val repeats: RepeatBudget,
     private val sender: Sender,
+    private val log: RequestLog,
 ) : CallerHandler {
     override suspend fun serve(exchange: CallerExchange) {
         val facts = wire.readRequest(exchange.request.headers()).getOrElse {
@@ -37,7 +36,7 @@
         }
         val admitted = admit(exchange, facts).getOrElse {
             exchange.refuse(it)
-            logRefused(facts, it, beliefs)
+            log.refused(facts, it)
             return
         }
         repeats.onRequest(admitted.service.name)
@@ -58,14 +57,14 @@
 
     private fun finish(work: RequestWork, failure: Failure?) {
         when {
-            work.answer.isDelivered || failure == null -> logFinished(work)
+            work.answer.isDelivered || failure == null -> log.finished(work)
             work.answer.hasBegun -> {
                 work.exchange.abort()
-                logFailed(work, failure)
+                log.failed(work, failure)
             }
             else -> {
                 work.exchange.refuse(failure)
-                logFailed(work, failure)
+                log.failed(work, failure)
             }
         }
     }
@@ -78,15 +77,15 @@
             work.record(attempt)
             if (attempt !is Attempt.Failed) return null
             place = if (mayTryAgain(work, attempt)) placeOrNull(work) else null
-            if (place != null) logRetry(work, attempt)
+            if (place != null) log.retry(work, attempt)
         }
         val failure = work.lastFailure ?: noEndpoint(work)
         return if (work.answer.deliverKept()) null else work.overAll(failure)
     }
 
     private fun placeOrNull(work: RequestWork): Place? {
-        val endpoints = beliefs.endpoints.of(work.admitted.service.name).filter { sender.mayReceive(it, work) }
-        return placement.chooseOrNull(work.ask(), endpoints)?.also { logPlaced(work, it, endpoints.size, beliefs) }
+        val endpoints = sender.candidatesFor(work)
+        return placement.chooseOrNull(work.ask(), endpoints)?.also { log.placed(work, it, endpoints.size) }
     }
 
     private fun mayTryAgain(work: RequestWork, attempt: Attempt.Failed): Boolean {
--- a/gateway/src/main/kotlin/pistachiopass/gateway/forward/Sender.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/forward/Sender.kt
@@ -43,8 +43,11 @@
 
 /** Makes attempts over kept connections. */
 internal class Sender(private val pool: UpstreamPool<Incarnation>, private val parts: SenderParts) {
-    /** Is true if [endpoint] may get [work] now. */
-    fun mayReceive(endpoint: KnownEndpoint, work: RequestWork): Boolean =
+    /** Returns the endpoints that may get [work] now. */
+    fun candidatesFor(work: RequestWork): List<KnownEndpoint> =
+        parts.beliefs.endpoints.of(work.admitted.service.name).filter { mayReceive(it, work) }
+
+    private fun mayReceive(endpoint: KnownEndpoint, work: RequestWork): Boolean =
         parts.beliefs.endpoints.isUsable(endpoint) &&
             parts.cold.mayTake(endpoint, work.admitted.service.coldPerSecond)
 
--- a/gateway/src/main/kotlin/pistachiopass/gateway/peers/Peers.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/peers/Peers.kt
@@ -37,6 +37,7 @@
     private val beliefs: Beliefs,
     private val load: FleetLoad,
     private val clock: AgeClock,
+    private val scope: CoroutineScope,
 ) {
     private var channel: Channel? = null
     private var questions = 0L
@@ -44,8 +45,8 @@
     private val news = ArrayList<HintedWork>()
     private var known: Set<String> = emptySet()
 
-    /** Binds the port and greets the others for as long as [scope] lives. */
-    fun start(scope: CoroutineScope, eventLoop: EventLoop) {
+    /** Binds the port and greets the others. */
+    fun start(eventLoop: EventLoop) {
         val future = Bootstrap()
             .group(eventLoop)
             .channel(NioDatagramChannel::class.java)
@@ -54,12 +55,13 @@
         channel = future.channel()
         scope.launch { greetings() }
         scope.launch { proofs() }
-        scope.launch { newsRounds() }
     }
 
     /** Tells the others of placed work, a few milliseconds later together with more of it. */
     fun placed(hints: List<WorkHint>) {
+        val isFirst = news.isEmpty()
         hints.mapTo(news, ::hintedWorkOf)
+        if (isFirst) scope.launch { tellNews() }
     }
 
     private suspend fun greetings() {
@@ -71,14 +73,10 @@
         }
     }
 
-    private suspend fun newsRounds() {
-        while (true) {
-            delay(NEWS_MILLIS)
-            if (news.isNotEmpty()) {
-                send(membership.live().keys, PlacedWorkNews(news.take(NEWS_MAX)))
-                news.clear()
-            }
-        }
+    private suspend fun tellNews() {
+        delay(NEWS_MILLIS)
+        send(membership.live().keys, PlacedWorkNews(news.take(NEWS_MAX)))
+        news.clear()
     }
 
     /** Asks others for a proof while the store gives none. */
--- a/gateway/src/test/kotlin/pistachiopass/gateway/forward/BudgetsTest.kt
+++ b/gateway/src/test/kotlin/pistachiopass/gateway/forward/BudgetsTest.kt
@@ -32,7 +32,13 @@
         val budgets = List(fleet.instances) { RepeatBudget(bounds, { fleet.assumed }, { nowMillis }) }
         budgets.forEach { budget -> repeat(fleet.requestsEach) { budget.onRequest(ASSISTANT) } }
         nowMillis = 9_999
-        val repeats = budgets.sumOf { budget -> generateSequence { budget.tryTake(ASSISTANT) }.takeWhile { it }.count() }
+        val repeats = budgets.sumOf { budget ->
+            generateSequence {
+                budget.tryTake(
+                    ASSISTANT
+                )
+            }.takeWhile { it }.count()
+        }
         val bound = 0.2 * fleet.instances * fleet.requestsEach + fleet.slack
         assertTrue(repeats <= bound, "$repeats repeats, bound $bound")
         assertTrue(repeats > 0, "no repeat at all")
