--- a/gateway/src/test/kotlin/pistachiopass/gateway/TestTables.kt
+++ b/gateway/src/test/kotlin/pistachiopass/gateway/TestTables.kt
@@ -60,7 +60,11 @@
 internal fun serviceOf(engine: EngineSpeeds? = SPEEDS): Service =
     Service(ASSISTANT, "/health", connectionsMax = 400, coldPerSecond = 38.0, engine)
 
-internal fun tableOf(version: Long, routes: List<Route>, keys: Map<String, String>? = null): RoutingTable = RoutingTable(
+internal fun tableOf(
+    version: Long,
+    routes: List<Route>,
+    keys: Map<String, String>? = null,
+): RoutingTable = RoutingTable(
     TableVersion(version),
     routes,
     mapOf(ASSISTANT to serviceOf()),
@@ -87,5 +91,10 @@
     coldMillis,
 )
 
-internal fun endpointItem(revision: Long, id: String, endpoint: PublishedEndpoint?, problem: String? = null): StateItem =
+internal fun endpointItem(
+    revision: Long,
+    id: String,
+    endpoint: PublishedEndpoint?,
+    problem: String? = null,
+): StateItem =
     StateItem.Endpoint(Revision(revision), EndpointId(id), endpoint, problem)
--- a/gateway/src/test/kotlin/pistachiopass/gateway/forward/AdmissionTest.kt
+++ b/gateway/src/test/kotlin/pistachiopass/gateway/forward/AdmissionTest.kt
@@ -61,17 +61,20 @@
     }
 
     @TestFactory
-    fun `a key that is taken away before the send is noticed`(): List<DynamicTest> =
-        casesOf(
-            listOf(mapOf("k1" to "w1") to null, mapOf("k2" to "w1") to 401, mapOf("k1" to "w2") to 401)
-        ) { (keys, status) ->
-            val beliefs = beliefsWith(TABLE, proofAgeMillis = 0)
-            val admission = admissionOf(beliefs, revokeMillis = 5_000)
-            val facts = RequestFacts(RequestId("r"), 1_000, "k1", prompt = null, lastEventId = null)
-            val admitted = admission.admit(facts, "host.example", "/a/1").mapBoth({ it }, { null })
-            beliefs.applyChanges(StateSnapshot(Revision(9), listOf(tableItem(9, tableOf(4, TABLE.routes, keys)))))
-            assertEquals(status, admission.objectionOrNull(assertNotNull(admitted), "k1")?.status)
-        }
+    fun `a key that is taken away before the send is noticed`(): List<DynamicTest> = casesOf(
+        listOf(
+            mapOf("k1" to "w1") to null,
+            mapOf("k2" to "w1") to 401,
+            mapOf("k1" to "w2") to 401,
+        ),
+    ) { (keys, status) ->
+        val beliefs = beliefsWith(TABLE, proofAgeMillis = 0)
+        val admission = admissionOf(beliefs, revokeMillis = 5_000)
+        val facts = RequestFacts(RequestId("r"), 1_000, "k1", prompt = null, lastEventId = null)
+        val admitted = admission.admit(facts, "host.example", "/a/1").mapBoth({ it }, { null })
+        beliefs.applyChanges(StateSnapshot(Revision(9), listOf(tableItem(9, tableOf(4, TABLE.routes, keys)))))
+        assertEquals(status, admission.objectionOrNull(assertNotNull(admitted), "k1")?.status)
+    }
 
     private fun beliefsWith(table: RoutingTable?, proofAgeMillis: Long): Beliefs {
         var nowMillis = 0L
--- a/gateway/src/test/kotlin/pistachiopass/gateway/forward/BudgetsTest.kt
+++ b/gateway/src/test/kotlin/pistachiopass/gateway/forward/BudgetsTest.kt
@@ -32,18 +32,15 @@
         val budgets = List(fleet.instances) { RepeatBudget(bounds, { fleet.assumed }, { nowMillis }) }
         budgets.forEach { budget -> repeat(fleet.requestsEach) { budget.onRequest(ASSISTANT) } }
         nowMillis = 9_999
-        val repeats = budgets.sumOf { budget ->
-            generateSequence {
-                budget.tryTake(
-                    ASSISTANT
-                )
-            }.takeWhile { it }.count()
-        }
+        val repeats = budgets.sumOf { takenFrom(it) }
         val bound = 0.2 * fleet.instances * fleet.requestsEach + fleet.slack
         assertTrue(repeats <= bound, "$repeats repeats, bound $bound")
         assertTrue(repeats > 0, "no repeat at all")
     }
 
+    private fun takenFrom(budget: RepeatBudget): Int =
+        generateSequence { budget.tryTake(ASSISTANT) }.takeWhile { it }.count()
+
     @TestFactory
     fun `a cold endpoint gets its part of the published rate`(): List<DynamicTest> = casesOf(
         listOf(
--- /dev/null
+++ b/gateway/src/test/kotlin/pistachiopass/gateway/placement/SimulatedFleet.kt
@@ -0,0 +1,124 @@
+/**
+ * Model engines in virtual time, as their published speeds describe them.
+ *
+ * An engine works in passes. A pass with writers runs a fixed number of token steps and gives each writer one event; it
+ * reads waiting prompts in turn, up to a bounded time, and all writers wait for that. A prompt may be read in parts by
+ * several engines; its first event follows the pass in which the last part ends.
+ */
+package pistachiopass.gateway.placement
+
+import pistachiopass.gateway.SPEEDS
+import pistachiopass.gateway.model.EngineSpeeds
+import java.util.PriorityQueue
+
+/** One request and what its caller saw. */
+internal class Played(val kind: Kind, val promptTokens: Long, val events: Int, val arrivedMillis: Double) {
+    var partsLeft: Int = 0
+    var eventsLeft: Int = events
+    var firstMillis: Double = Double.MAX_VALUE
+    var lastEventMillis: Double = 0.0
+    var longestPauseMillis: Double = 0.0
+
+    /** The whole answer came, its first event and all others in time. */
+    val isInAim: Boolean
+        get() = eventsLeft == 0 && firstMillis - arrivedMillis <= kind.objectiveMillis &&
+            longestPauseMillis <= kind.pauseMillis
+}
+
+/** A kind of request of the users' sheets. */
+internal enum class Kind(val objectiveMillis: Long, val pauseMillis: Long, val meanTokens: Double, val worth: Double) {
+    SHORT(objectiveMillis = 300, pauseMillis = 200, meanTokens = 4_960.0, worth = 1.3),
+    MEDIUM(objectiveMillis = 1_500, pauseMillis = 500, meanTokens = 45_000.0, worth = 3.1),
+    LONG(objectiveMillis = 3_000, pauseMillis = 800, meanTokens = 210_000.0, worth = 22.0),
+}
+
+private class Part(val request: Played, var leftMillis: Double, val isFirst: Boolean)
+
+/** Calls back what is due, in order of time. */
+internal class VirtualTime {
+    private class Due(val atMillis: Double, val order: Long, val run: () -> Unit)
+
+    private val queue = PriorityQueue(compareBy<Due>({ it.atMillis }, { it.order }))
+    private var orders = 0L
+
+    var nowMillis: Double = 0.0
+        private set
+
+    fun at(millis: Double, run: () -> Unit) {
+        queue += Due(millis, orders++, run)
+    }
+
+    fun runAll() {
+        while (true) {
+            val due = queue.poll() ?: return
+            nowMillis = due.atMillis
+            due.run()
+        }
+    }
+}
+
+/** One engine. */
+internal class SimulatedEngine(private val time: VirtualTime, private val engine: EngineSpeeds = SPEEDS) {
+    private val reads = ArrayDeque<Part>()
+    private val writers = ArrayList<Played>()
+    private var isRunning = false
+
+    val requests: Int get() = reads.size + writers.size
+
+    /** Reads a part of [request] that takes [readMillis]; its answer is written by [first]. */
+    fun read(request: Played, readMillis: Double, first: SimulatedEngine, onRead: (Played) -> Unit) {
+        reads += Part(request, readMillis, isFirst = first === this)
+        callbacks[request] = { played ->
+            first.write(played)
+            onRead(played)
+        }
+        wake()
+    }
+
+    private val callbacks = HashMap<Played, (Played) -> Unit>()
+
+    private fun write(request: Played) {
+        request.firstMillis = time.nowMillis
+        request.lastEventMillis = time.nowMillis
+        request.eventsLeft--
+        if (request.eventsLeft > 0) writers += request
+        wake()
+    }
+
+    private fun wake() {
+        if (isRunning || requests == 0) return
+        isRunning = true
+        val writing = if (writers.isEmpty()) 0.0 else engine.passMillis(writers.size, writers.sumOf { it.promptTokens })
+        var budget = if (writers.isEmpty()) CHUNK_MILLIS else CHUNK_MILLIS * engine.passSteps
+        val done = ArrayList<Part>()
+        var reading = 0.0
+        while (reads.isNotEmpty() && budget > 0) {
+            val part = reads.first()
+            val step = minOf(part.leftMillis, budget)
+            part.leftMillis -= step
+            budget -= step
+            reading += step
+            if (part.leftMillis <= 0) done += reads.removeFirst()
+        }
+        val inPass = writers.toList()
+        time.at(time.nowMillis + writing + reading) { endPass(inPass, done) }
+    }
+
+    private fun endPass(inPass: List<Played>, done: List<Part>) {
+        isRunning = false
+        inPass.forEach { request ->
+            request.longestPauseMillis = maxOf(request.longestPauseMillis, time.nowMillis - request.lastEventMillis)
+            request.lastEventMillis = time.nowMillis
+            request.eventsLeft--
+        }
+        writers.removeAll { it.eventsLeft <= 0 }
+        done.forEach { part ->
+            val onRead = callbacks.remove(part.request)
+            if (--part.request.partsLeft == 0) onRead?.invoke(part.request)
+        }
+        wake()
+    }
+}
+
+/** Time in which an engine reads one chunk of 2,048 tokens. */
+private const val CHUNK_MILLIS: Double = 8.0
--- a/gateway/src/test/kotlin/pistachiopass/gateway/state/BeliefsTest.kt
+++ b/gateway/src/test/kotlin/pistachiopass/gateway/state/BeliefsTest.kt
@@ -46,65 +46,68 @@
 }
 
 class BeliefsTest {
+    private val published = listOf(
+        Case("an endpoint is listed", "v- [e1]") { changes(endpointItem(2, "e1", endpointOf("e1"))) },
+        Case("an older change of an endpoint is ignored", "v- []") {
+            changes(endpointItem(5, "e1", null))
+            changes(endpointItem(4, "e1", endpointOf("e1")))
+        },
+        Case("a draining endpoint gets no work", "v- []") {
+            changes(endpointItem(2, "e1", endpointOf("e1")))
+            changes(endpointItem(3, "e1", endpointOf("e1", isDraining = true)))
+        },
+        Case("an entry that cannot be read names no endpoint, the others hold", "v- [e2]") {
+            changes(endpointItem(2, "e1", endpointOf("e1")), endpointItem(3, "e2", endpointOf("e2")))
+            changes(endpointItem(4, "e1", null, problem = "state"))
+        },
+        Case("a lower version of the configuration is ignored", "v7 []") {
+            changes(tableItem(2, tableOf(7, listOf(routeOf("/a/")))))
+            changes(tableItem(3, tableOf(6, listOf(routeOf("/a/")))))
+        },
+        Case("an unreadable configuration leaves the last one in force", "v7 []") {
+            changes(tableItem(2, tableOf(7, listOf(routeOf("/a/")))))
+            changes(StateItem.Table(Revision(3), table = null, problem = "malformed"))
+        },
+        Case("an evacuated data centre gets no work", "v- [e2]") {
+            changes(endpointItem(2, "e1", endpointOf("e1")), endpointItem(3, "e2", endpointOf("e2", "b")))
+            evacuation(4, isOut = true)
+        },
+        Case("a data centre that is taken back gets work", "v- [e1]") {
+            changes(endpointItem(2, "e1", endpointOf("e1")))
+            evacuation(4, isOut = true)
+            evacuation(5, isOut = false)
+        },
+    )
+
+    private val removed = listOf(
+        Case("what a full read no longer lists is gone", "v- [e2]") {
+            changes(endpointItem(2, "e1", endpointOf("e1")), endpointItem(3, "e2", endpointOf("e2")))
+            all(9, endpointItem(3, "e2", endpointOf("e2")))
+        },
+        Case("a full read does not remove what was listed after it", "v- [e1, e2]") {
+            changes(endpointItem(2, "e1", endpointOf("e1")), endpointItem(12, "e2", endpointOf("e2")))
+            all(9, endpointItem(2, "e1", endpointOf("e1")))
+        },
+        Case("an entry that lapsed while the store was away is used for a moment", "v- [e1]") {
+            storeReturns()
+            nowMillis += 1_400
+        },
+        Case("an entry that lapsed and does not come back is gone", "v- []") {
+            storeReturns()
+            nowMillis += 1_600
+            beliefs.endpoints.expireMissing()
+        },
+        Case("an entry that is removed while the store is sound is gone at once", "v- []") {
+            beliefs.proofs.byStore(0)
+            changes(endpointItem(2, "e1", endpointOf("e1")))
+            nowMillis += 1_000
+            beliefs.proofs.byStore(1_000)
+            changes(endpointItem(3, "e1", null))
+        },
+    )
+
     @TestFactory
-    fun `what is in force after changes`(): List<DynamicTest> = casesOf(
-        listOf(
-            Case("an endpoint is listed", "v- [e1]") { changes(endpointItem(2, "e1", endpointOf("e1"))) },
-            Case("an older change of an endpoint is ignored", "v- []") {
-                changes(endpointItem(5, "e1", null))
-                changes(endpointItem(4, "e1", endpointOf("e1")))
-            },
-            Case("a draining endpoint gets no work", "v- []") {
-                changes(endpointItem(2, "e1", endpointOf("e1")))
-                changes(endpointItem(3, "e1", endpointOf("e1", isDraining = true)))
-            },
-            Case("an entry that cannot be read names no endpoint, the others hold", "v- [e2]") {
-                changes(endpointItem(2, "e1", endpointOf("e1")), endpointItem(3, "e2", endpointOf("e2")))
-                changes(endpointItem(4, "e1", null, problem = "state"))
-            },
-            Case("a lower version of the configuration is ignored", "v7 []") {
-                changes(tableItem(2, tableOf(7, listOf(routeOf("/a/")))))
-                changes(tableItem(3, tableOf(6, listOf(routeOf("/a/")))))
-            },
-            Case("an unreadable configuration leaves the last one in force", "v7 []") {
-                changes(tableItem(2, tableOf(7, listOf(routeOf("/a/")))))
-                changes(StateItem.Table(Revision(3), table = null, problem = "malformed"))
-            },
-            Case("an evacuated data centre gets no work", "v- [e2]") {
-                changes(endpointItem(2, "e1", endpointOf("e1")), endpointItem(3, "e2", endpointOf("e2", "b")))
-                evacuation(4, isOut = true)
-            },
-            Case("a data centre that is taken back gets work", "v- [e1]") {
-                changes(endpointItem(2, "e1", endpointOf("e1")))
-                evacuation(4, isOut = true)
-                evacuation(5, isOut = false)
-            },
-            Case("what a full read no longer lists is gone", "v- [e2]") {
-                changes(endpointItem(2, "e1", endpointOf("e1")), endpointItem(3, "e2", endpointOf("e2")))
-                all(9, endpointItem(3, "e2", endpointOf("e2")))
-            },
-            Case("a full read does not remove what was listed after it", "v- [e1, e2]") {
-                changes(endpointItem(2, "e1", endpointOf("e1")), endpointItem(12, "e2", endpointOf("e2")))
-                all(9, endpointItem(2, "e1", endpointOf("e1")))
-            },
-            Case("an entry that lapsed while the store was away is used for a moment", "v- [e1]") {
-                storeReturns()
-                nowMillis += 1_400
-            },
-            Case("an entry that lapsed and does not come back is gone", "v- []") {
-                storeReturns()
-                nowMillis += 1_600
-                beliefs.endpoints.expireMissing()
-            },
-            Case("an entry that is removed while the store is sound is gone at once", "v- []") {
-                beliefs.proofs.byStore(0)
-                changes(endpointItem(2, "e1", endpointOf("e1")))
-                nowMillis += 1_000
-                beliefs.proofs.byStore(1_000)
-                changes(endpointItem(3, "e1", null))
-            },
-        ),
-    ) { case ->
+    fun `what is in force after changes`(): List<DynamicTest> = casesOf(published + removed) { case ->
         val play = Play()
         case.play(play)
         assertEquals(case.expected, play.outcome())
