--- a/gateway/src/main/kotlin/pistachiopass/gateway/placement/FleetLoad.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/placement/FleetLoad.kt
@@ -25,7 +25,10 @@
     internal val hint: WorkHint,
     internal var untilMillis: Double,
     internal val isOwn: Boolean,
-)
+) {
+    /** Reading that is still ahead for this request; 0 once its prompt has been read. */
+    internal var unreadMillis: Double = hint.readMillis
+}
 
 /** Known work at one endpoint. */
 public class EndpointWork internal constructor() {
@@ -78,6 +81,7 @@
 
     /** Records that the prompt of [placed] has been read. */
     public fun readEnded(placed: PlacedWork, forecastMillis: Double, actualMillis: Double) {
+        placed.unreadMillis = 0.0
         val work = at(placed.hint.endpoint)
         val ratio = (actualMillis / maxOf(forecastMillis, RATIO_FLOOR_MILLIS)).coerceIn(RATIO_MIN, RATIO_MAX)
         work.slowness = (work.slowness * (1 - RATIO_PART) + ratio * RATIO_PART).coerceAtLeast(1.0)
@@ -86,9 +90,12 @@
         }
     }
 
-    /** Removes the work of a request that ended. */
+    /** Removes the work of a request that ended, with the reading that was not done. */
     public fun end(placed: PlacedWork) {
-        works[placed.hint.endpoint]?.placed?.remove(placed)
+        val work = works[placed.hint.endpoint] ?: return
+        work.placed.remove(placed)
+        work.readClearsAtMillis -= placed.unreadMillis * work.slowness
+        placed.unreadMillis = 0.0
     }
 
     /** Records the load that an endpoint stated in an answer. */
