Prove reservations and membership in virtual time

ReservationsTest: 12 cases (request of 0.5, 3 and 12 s; sound, instance killed, renewal carried out 6 s late, release lost). MembershipTest: 7 cases.

--- /dev/null
+++ b/gateway/src/test/kotlin/pistachiopass/gateway/forward/ReservationsTest.kt
@@ -0,0 +1,147 @@
+/**
+ * Shows in virtual time that memory is set aside for as long as its request lasts and no longer.
+ *
+ * The bound is the deployments' 4 s after the request's end, whatever becomes of the instance or of an order.
+ */
+package pistachiopass.gateway.forward
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.test.TestScope
+import kotlinx.coroutines.test.currentTime
+import kotlinx.coroutines.test.runTest
+import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.TestFactory
+import pistachiopass.entry.logging.EventLog
+import pistachiopass.gateway.ASSISTANT
+import pistachiopass.gateway.EndpointOrders
+import pistachiopass.gateway.OrderOutcome
+import pistachiopass.gateway.StateSnapshot
+import pistachiopass.gateway.casesOf
+import pistachiopass.gateway.endpointItem
+import pistachiopass.gateway.endpointOf
+import pistachiopass.gateway.model.Address
+import pistachiopass.gateway.model.Revision
+import pistachiopass.gateway.placement.Place
+import pistachiopass.gateway.state.beliefsOf
+import pistachiopass.model.RequestId
+import kotlin.test.assertNotNull
+import kotlin.test.assertTrue
+
+/** What befalls the instance or its orders. */
+private enum class Trouble { NONE, INSTANCE_KILLED, LAST_RENEWAL_LATE, RELEASE_LOST }
+
+private data class Held(val trouble: Trouble, val requestMillis: Long)
+
+/** An engine's memory: reservations with the time of their expiry. */
+private class Memory(private val test: TestScope) : EndpointOrders {
+    private val expiresMillis = HashMap<String, Long>()
+    private val late = ArrayList<Pair<Long, () -> Unit>>()
+    var trouble: Trouble = Trouble.NONE
+    var lostReleases: Int = 0
+
+    fun isHeld(): Boolean {
+        late.filter { it.first <= test.currentTime }.forEach { (_, carryOut) -> carryOut() }
+        late.removeIf { it.first <= test.currentTime }
+        return expiresMillis.values.any { it > test.currentTime }
+    }
+
+    override suspend fun reserve(
+        address: Address,
+        reservation: String,
+        tokens: Long,
+        holdMillis: Long,
+    ): OrderOutcome {
+        if (trouble == Trouble.LAST_RENEWAL_LATE) {
+            late += test.currentTime + LATE_MILLIS to { expiresMillis[reservation] = test.currentTime + holdMillis }
+            delay(ORDER_MILLIS)
+            return OrderOutcome.UNKNOWN
+        }
+        expiresMillis[reservation] = test.currentTime + holdMillis
+        return OrderOutcome.DONE
+    }
+
+    override suspend fun release(address: Address, reservation: String): OrderOutcome {
+        if (lostReleases-- > 0) {
+            delay(ORDER_MILLIS)
+            return OrderOutcome.UNKNOWN
+        }
+        expiresMillis.remove(reservation)
+        return OrderOutcome.DONE
+    }
+}
+
+@OptIn(ExperimentalCoroutinesApi::class)
+class ReservationsTest {
+    @TestFactory
+    fun `memory is held while the request lasts and free in time after it`(): List<DynamicTest> = casesOf(
+        Trouble.entries.flatMap { trouble -> listOf(500L, 3_000L, 12_000L).map { Held(trouble, it) } },
+    ) { held ->
+        runTest {
+            val memory = Memory(this)
+            val instance = CoroutineScope(coroutineContext + Job())
+            val reservations = Reservations(memory, holdMillisOf(FREE_MILLIS, HOLD_MAX_MILLIS), instance)
+            val reservation = assertNotNull(reservations.reserveOrNull(RequestId("r"), place()))
+            repeat((held.requestMillis / STEP_MILLIS).toInt()) {
+                assertTrue(memory.isHeld(), "not held at $currentTime ms")
+                delay(STEP_MILLIS)
+            }
+            end(held.trouble, memory, instance, reservation)
+            assertFreeInTime(memory)
+            instance.cancel()
+        }
+    }
+
+    private suspend fun end(
+        trouble: Trouble,
+        memory: Memory,
+        instance: CoroutineScope,
+        reservation: Reservations.Reservation,
+    ) {
+        memory.trouble = trouble
+        when (trouble) {
+            Trouble.INSTANCE_KILLED -> instance.cancel()
+            Trouble.RELEASE_LOST -> {
+                memory.lostReleases = 1
+                reservation.release()
+            }
+            Trouble.LAST_RENEWAL_LATE -> {
+                delay(RENEWAL_MILLIS)
+                reservation.release()
+            }
+            Trouble.NONE -> reservation.release()
+        }
+    }
+
+    /** Memory may be held for less than two seconds at a time once the bound has passed, as the rules count. */
+    private suspend fun TestScope.assertFreeInTime(memory: Memory) {
+        val endedMillis = currentTime
+        var heldSinceMillis: Long? = null
+        while (currentTime < endedMillis + WATCHED_MILLIS) {
+            delay(STEP_MILLIS)
+            heldSinceMillis = if (memory.isHeld()) heldSinceMillis ?: currentTime else null
+            val isLeak = heldSinceMillis != null &&
+                currentTime - endedMillis > FREE_MILLIS && currentTime - heldSinceMillis >= STRETCH_MILLIS
+            assertTrue(!isLeak, "held since $heldSinceMillis ms, the request ended at $endedMillis ms")
+        }
+    }
+
+    private fun place(): Place {
+        val beliefs = beliefsOf({ 0L }, EventLog { _, _, _ -> })
+        beliefs.applyChanges(StateSnapshot(Revision(2), listOf(endpointItem(2, "e1", endpointOf("e1")))))
+        val endpoint = beliefs.endpoints.of(ASSISTANT).single()
+        return Place(endpoint, emptyList(), forecastMillis = 0.0, emptyList(), reservedTokens = 1_000)
+    }
+}
+
+private const val FREE_MILLIS = 4_000.0
+private const val HOLD_MAX_MILLIS = 20_000.0
+private const val STRETCH_MILLIS = 2_000L
+private const val STEP_MILLIS = 100L
+private const val ORDER_MILLIS = 500L
+private const val LATE_MILLIS = 6_000L
+private const val RENEWAL_MILLIS = 1_200L
+private const val WATCHED_MILLIS = 20_000L
--- /dev/null
+++ b/gateway/src/test/kotlin/pistachiopass/gateway/peers/MembershipTest.kt
@@ -0,0 +1,44 @@
+/** Shows whom an instance tells of work, and among how many it splits what is summed over all. */
+package pistachiopass.gateway.peers
+
+import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.TestFactory
+import pistachiopass.gateway.casesOf
+import kotlin.random.Random
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+private data class Seen(val name: String, val hosts: Int, val silentMillis: Long, val live: Int, val split: Int) {
+    override fun toString(): String = name
+}
+
+class MembershipTest {
+    @TestFactory
+    fun `who is live and how limits are split`(): List<DynamicTest> = casesOf(
+        listOf(
+            Seen("alone", hosts = 0, silentMillis = 0, live = 0, split = 12),
+            Seen("eight instances", hosts = 7, silentMillis = 0, live = 7, split = 12),
+            Seen("ninety instances", hosts = 89, silentMillis = 0, live = 89, split = 135),
+            Seen("silent for three seconds", hosts = 89, silentMillis = 3_000, live = 0, split = 135),
+            Seen("silent for a minute", hosts = 89, silentMillis = 60_001, live = 0, split = 12),
+        ),
+    ) { seen ->
+        var nowMillis = 0L
+        val membership = Membership("10.0.0.1", emptyList(), { nowMillis }, Random(1))
+        nowMillis = 10_000
+        repeat(seen.hosts) { membership.heard("10.1.0.$it", ageMillis = 0) }
+        nowMillis += seen.silentMillis
+        assertEquals(seen.live, membership.live().size)
+        assertEquals(seen.split, membership.splitCount())
+    }
+
+    @TestFactory
+    fun `an instance that knows nobody yet splits among many and greets the seeds`(): List<DynamicTest> =
+        casesOf(listOf(0L, 2_999L)) { uptimeMillis ->
+            var nowMillis = 0L
+            val membership = Membership("10.0.0.1", listOf("10.0.0.1", "10.0.0.2"), { nowMillis }, Random(1))
+            nowMillis = uptimeMillis
+            assertTrue(membership.splitCount() >= 64)
+            assertEquals(setOf("10.0.0.2"), membership.greeted())
+        }
+}
