--- a/gateway/src/main/kotlin/pistachiopass/gateway/http/UpstreamConnection.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/http/UpstreamConnection.kt
@@ -29,7 +29,7 @@
 import kotlinx.coroutines.channels.Channel as CoroutineChannel
 
 /** Tells how an exchange broke. */
-internal enum class Breakage { CLOSED, RESET, MALFORMED, UNREACHABLE }
+internal enum class Breakage { CLOSED, RESET, MALFORMED }
 
 /** One part of an answer. */
 internal sealed interface Part {
@@ -52,10 +52,6 @@
     private var requestWritten: ChannelFuture? = null
     private var broken: Breakage? = null
 
-    /** Bytes of any kind have been received on this connection. */
-    var hasReceived: Boolean = false
-        private set
-
     /** Idle time in milliseconds that the other end states, or null. */
     var keepAliveMillis: Long? = null
         private set
@@ -78,7 +74,6 @@
         check(parts == null) { "an exchange is in progress on $channel" }
         parts = CoroutineChannel(CoroutineChannel.UNLIMITED)
         isEnded = false
-        hasReceived = false
         decoder.isHead = request.method() == HttpMethod.HEAD
         broken?.let { parts?.trySend(Part.Broken(it)) }
         channel.write(request)
@@ -121,7 +116,6 @@
 
     private inner class Inbound : ChannelInboundHandlerAdapter() {
         override fun channelRead(context: ChannelHandlerContext, message: Any) {
-            hasReceived = true
             when {
                 parts == null || (message as? HttpMessage)?.decoderResult()?.isFailure == true -> {
                     ReferenceCountUtil.release(message)
--- a/gateway/src/main/kotlin/pistachiopass/gateway/http/UpstreamPool.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/http/UpstreamPool.kt
@@ -19,10 +19,6 @@
 internal class UpstreamPool<K : Any>(private val eventLoop: EventLoop, private val clock: AgeClock) {
     private val idle = HashMap<K, ArrayDeque<Idle>>()
 
-    /** Counts the connections opened so far. */
-    var opened: Long = 0
-        private set
-
     /** Returns a kept connection for [key] that was idle for at most [idleMaxMillis], or a new one, or null. */
     suspend fun acquireOrNull(key: K, address: Address, idleMaxMillis: Long): UpstreamConnection? =
         keptOrNull(key, idleMaxMillis) ?: connectOrNull(address)
@@ -78,7 +74,6 @@
                     connection.install(channel.pipeline())
                 }
             })
-        opened++
         val future = bootstrap.connect(address.host, address.port)
         val isConnected = suspendCancellableCoroutine { continuation ->
             future.addListener { continuation.resume(future.isSuccess) }
--- a/gateway/src/main/kotlin/pistachiopass/gateway/model/RoutingTable.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/model/RoutingTable.kt
@@ -54,8 +54,6 @@
 /** Describes the endpoints of one service. */
 public data class Service(
     val name: ServiceName,
-    val healthPath: String,
-    val connectionsMax: Int,
     /** Requests a second that one cold endpoint bears; 0 if the service has no cold start. */
     val coldPerSecond: Double,
     /** Published speeds of model engines; null for plain services. */
--- a/gateway/src/main/kotlin/pistachiopass/gateway/settings/GatewaySettings.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/settings/GatewaySettings.kt
@@ -23,12 +23,9 @@
     val controlAddress: String,
     /** First of the ports that are free for traffic between instances; the same on all instances. */
     val peerPort: Int,
-    /** Address of counters and histograms, on this host; null serves none. */
-    val metricsPort: Int? = null,
     /** Control addresses of some instances; they may be gone. */
     val seeds: List<String> = emptyList(),
     val storeAddress: String,
-    val memoryMebibytes: Int,
     val bounds: BoundSettings,
 )
 
--- a/gateway/src/test/kotlin/pistachiopass/gateway/placement/SimulatedFleet.kt
+++ b/gateway/src/test/kotlin/pistachiopass/gateway/placement/SimulatedFleet.kt
@@ -32,7 +32,7 @@
     LONG(objectiveMillis = 3_000, pauseMillis = 800, meanTokens = 210_000.0, worth = 22.0),
 }
 
-private class Part(val request: Played, var leftMillis: Double, val isFirst: Boolean)
+private class Part(val request: Played, var leftMillis: Double)
 
 /** Calls back what is due, in order of time. */
 internal class VirtualTime {
@@ -67,7 +67,7 @@
 
     /** Reads a part of [request] that takes [readMillis]; its answer is written by [first]. */
     fun read(request: Played, readMillis: Double, first: SimulatedEngine, onRead: (Played) -> Unit) {
-        reads += Part(request, readMillis, isFirst = first === this)
+        reads += Part(request, readMillis)
         callbacks[request] = { played ->
             first.write(played)
             onRead(played)
