Read answers of endpoints to their last chunk: Ktor over OkHttp instead of CIO

Cause: the decoder of Ktor's CIO client ends when its input ends and asks for no last chunk, so a booking's answer that was cut off between two chunks was recorded as a whole one (ChunkBoundaryTest, 3 of 3 red since it was written). Ruled out: a check of ours after the fact, since the client hides the framing. Earlier try of OkHttp broke 7 of 832 cases of SendingRuleTest: it sends over idle connections that the endpoint has closed, and Ktor's view of its headers writes names in lower case. Now no idle connection is kept, and header names are read one by one, as the endpoint wrote them. Found on the way: answers are read on Dispatchers.IO, so 64 silent connections held up all others; a new case with 100 silent ones failed first (2 s limit) and passes with a dispatcher as wide as the limit on calls. RawServer's backlog is raised from 50 to 256, since 100 simultaneous connections overran it (86 came). Before: ChunkBoundaryTest 0 of 3, SendingRuleTest 832 of 832. After: 3 of 3 and 833 of 833.

--- a/entry/src/main/kotlin/pistachiopass/entry/booking/EndpointBookingSender.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/booking/EndpointBookingSender.kt
@@ -17,7 +17,6 @@
 import io.ktor.http.HttpHeaders
 import io.ktor.http.HttpMethod
 import io.ktor.http.contentType
-import io.ktor.util.flattenEntries
 import kotlinx.coroutines.NonCancellable
 import kotlinx.coroutines.withContext
 import pistachiopass.booking.BookingHeader
@@ -153,9 +152,9 @@
     /** Reads one byte more than is recorded, so that the ledger sees that an answer is too long. */
     private suspend fun read(response: HttpResponse): Result<BookingOutcome, Failure> {
         val body = response.readWholeBody(settings.recordBytes + 1L)
-        val headers = response.headers.flattenEntries()
-            .filter { (name, _) -> name.lowercase() !in HOP_HEADERS }
-            .map { (name, value) -> BookingHeader(name, value) }
+        val headers = response.headers.names()
+            .filter { it.lowercase() !in HOP_HEADERS }
+            .flatMap { name -> response.headers.getAll(name).orEmpty().map { BookingHeader(name, it) } }
         return Ok(BookingOutcome.Answer(response.status.value, headers, body))
     }
 }
--- a/entry/src/main/kotlin/pistachiopass/entry/endpoint/EndpointClient.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/endpoint/EndpointClient.kt
@@ -6,8 +6,7 @@
 import com.github.michaelbull.result.getOrElse
 import com.github.michaelbull.result.runCatching
 import io.ktor.client.HttpClient
-import io.ktor.client.engine.cio.CIO
-import io.ktor.client.engine.cio.endpoint
+import io.ktor.client.engine.okhttp.OkHttp
 import io.ktor.client.network.sockets.ConnectTimeoutException
 import io.ktor.client.plugins.HttpTimeout
 import io.ktor.client.plugins.timeout
@@ -21,10 +20,15 @@
 import io.ktor.http.HttpStatusCode
 import io.ktor.http.encodeURLPathPart
 import io.ktor.http.isSuccess
+import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.ensureActive
 import kotlinx.io.IOException
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.json.Json
+import okhttp3.ConnectionPool
+import okhttp3.Dispatcher
+import okhttp3.OkHttpClient
+import okhttp3.Protocol
 import pistachiopass.model.Endpoint
 import pistachiopass.model.EndpointId
 import pistachiopass.model.Failure
@@ -36,6 +40,7 @@
 import pistachiopass.model.Verdict
 import java.net.ConnectException
 import java.nio.channels.UnresolvedAddressException
+import java.util.concurrent.TimeUnit
 import kotlin.coroutines.coroutineContext
 
 /** Speaks to endpoints; one client serves all of them. */
@@ -98,16 +103,12 @@
 /** Returns a client that gives up a connection after [readIdleMillis] of silence. */
 public fun endpointClientOf(readIdleMillis: Long): EndpointClient =
     EndpointClient(
-        HttpClient(CIO) {
+        HttpClient(OkHttp) {
             expectSuccess = false
             followRedirects = false
             engine {
-                requestTimeout = 0
-                maxConnectionsCount = MAX_CONNECTIONS
-                endpoint {
-                    maxConnectionsPerRoute = MAX_CONNECTIONS_PER_ENDPOINT
-                    connectAttempts = 1
-                }
+                dispatcher = Dispatchers.IO.limitedParallelism(MAX_CONNECTIONS)
+                config { sendOnceOverOwnConnection() }
             }
             install(HttpTimeout) {
                 connectTimeoutMillis = CONNECT_TIMEOUT_MILLIS
@@ -116,6 +117,25 @@
         },
     )
 
+/**
+ * Lets each call open its own connection and send its request over it once.
+ *
+ * OkHttp notices that an answer in chunks ends without its last chunk, which Ktor's CIO client does not. It cannot tell
+ * reliably whether the endpoint has closed an idle connection, so none is kept.
+ */
+private fun OkHttpClient.Builder.sendOnceOverOwnConnection() {
+    retryOnConnectionFailure(false)
+    followRedirects(false)
+    protocols(listOf(Protocol.HTTP_1_1))
+    connectionPool(ConnectionPool(0, 1, TimeUnit.MILLISECONDS))
+    dispatcher(
+        Dispatcher().apply {
+            maxRequests = MAX_CONNECTIONS
+            maxRequestsPerHost = MAX_CONNECTIONS_PER_ENDPOINT
+        },
+    )
+}
+
 /** What an endpoint reports of its load; it lags behind the truth. */
 @Serializable
 public data class LoadReport(
@@ -170,6 +190,8 @@
 
 private const val CONNECT_TIMEOUT_MILLIS: Long = 1_000
 private const val LOAD_TIMEOUT_MILLIS: Long = 1_000
+
+/** Calls at a time, each with a thread that reads its answer; about the memory of 4 GiB of stacks if all are used. */
 private const val MAX_CONNECTIONS: Int = 4_096
 private const val MAX_CONNECTIONS_PER_ENDPOINT: Int = 1_024
 private const val MILLIS_PER_SECOND: Long = 1_000
--- a/entry/src/test/kotlin/pistachiopass/entry/booking/RawServer.kt
+++ b/entry/src/test/kotlin/pistachiopass/entry/booking/RawServer.kt
@@ -129,4 +129,4 @@
 
 /** The body of every request of these tests; its last bytes mark the end of a request. */
 internal const val BODY = """{"stage":3,"end":true}"""
-private const val BACKLOG = 50
+private const val BACKLOG = 256
--- a/entry/src/test/kotlin/pistachiopass/entry/booking/Sender.kt
+++ b/entry/src/test/kotlin/pistachiopass/entry/booking/Sender.kt
@@ -36,8 +36,8 @@
 }
 
 /** Sends bookings to endpoints at [ports]. */
-internal class Sender(vararg ports: Int) : Closeable {
-    private val settings = LedgerSettings(answerMillis = 300)
+internal class Sender(vararg ports: Int, answerMillis: Long = 300) : Closeable {
+    private val settings = LedgerSettings(answerMillis = answerMillis)
     private val tables = tablesInForceOf().also { tables ->
         val endpoints = ports.withIndex().joinToString { (index, port) ->
             """{"id":"e$index","dataCentre":"dc1","address":"127.0.0.1:$port"}"""
@@ -53,7 +53,9 @@
 
     override fun close() = client.close()
 
-    fun send(id: String): BookingOutcome {
+    fun send(id: String): BookingOutcome = runBlocking { withTimeout(60_000) { exchange(id) } }
+
+    suspend fun exchange(id: String): BookingOutcome {
         val request = BookingRequest(
             RequestId(id),
             WorkspaceId("w1"),
@@ -62,7 +64,7 @@
             emptyList(),
             BODY.encodeToByteArray(),
         )
-        return runBlocking { withTimeout(60_000) { bookings.send("key-$id", request) } }
+        return bookings.send("key-$id", request)
     }
 }
 
--- a/entry/src/test/kotlin/pistachiopass/entry/booking/SendingRuleTest.kt
+++ b/entry/src/test/kotlin/pistachiopass/entry/booking/SendingRuleTest.kt
@@ -1,16 +1,24 @@
 /** Shows against a server on bare sockets that nothing is sent twice and that each verdict is right. */
 package pistachiopass.entry.booking
 
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeout
 import org.junit.jupiter.api.DynamicTest
 import org.junit.jupiter.api.TestFactory
 import pistachiopass.booking.BookingOutcome
 import pistachiopass.booking.verdict
 import pistachiopass.entry.casesOf
+import pistachiopass.entry.peer.awaitUntil
 import pistachiopass.model.Verdict
 import java.net.ServerSocket
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertIs
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 class SendingRuleTest {
     @TestFactory
@@ -61,6 +69,22 @@
         }
     }
 
+    @Test
+    fun `silent connections do not hold up another answer`() {
+        val silent = Script("silent", answer = LENGTH_ANSWER.copyOf(LENGTH_ANSWER.size - 3), end = End.STALL)
+        RawServer { if (it < SILENT_CALLS) silent else Script("whole", answer = LENGTH_ANSWER) }.use { server ->
+            Sender(server.port, answerMillis = 20_000).use { sender ->
+                runBlocking(Dispatchers.Default) {
+                    val calls = List(SILENT_CALLS) { launch { sender.exchange("s$it") } }
+                    awaitUntil { server.requests.size == SILENT_CALLS }
+                    delay(100.milliseconds)
+                    assertEquals(Verdict.RAN, withTimeout(2.seconds) { sender.exchange("r1") }.verdict)
+                    calls.forEach { it.cancel() }
+                }
+            }
+        }
+    }
+
     @Test
     fun `a booking that reached no endpoint goes to the next one`() {
         RawServer { Script("whole", answer = LENGTH_ANSWER) }.use { server ->
@@ -99,3 +123,6 @@
 
     private fun closedPort(): Int = ServerSocket(0).use { it.localPort }
 }
+
+/** More than the threads that the library uses unless it is told otherwise. */
+private const val SILENT_CALLS = 100
