Exit when an instance cannot start; tell all news of placed work

An address that cannot be bound ended the main thread only; the event loop kept the process, and SIGTERM just completed a promise that nobody awaited. On the platform such an instance would never be started again. The bind of the peers' port was not awaited at all, so its failure went unseen. Change: whatever ends the start is logged as start-failed and the process exits with 1; the peers' port is awaited.

--- a/entry/src/main/kotlin/pistachiopass/entry/logging/Event.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/logging/Event.kt
@@ -16,6 +16,7 @@
     SETTINGS_REFUSED(number = 1003, Level.ERROR, "The settings have errors; the process exits with code 2."),
     SETTINGS_CHANGED(number = 1004, Level.INFO, "The process was told that its settings file changed."),
     WARMED_UP(number = 1005, Level.INFO, "The request path was warmed up; requests and time are given."),
+    START_FAILED(number = 1006, Level.ERROR, "The process could not start or run on and exits; the cause is given."),
     STOP_BEGUN(number = 1010, Level.INFO, "A graceful stop begins; no new requests are admitted."),
     STOP_STEP(number = 1011, Level.INFO, "A step of the stop is complete."),
     STOP_DONE(number = 1012, Level.INFO, "The stop is complete and the process exits."),
@@ -72,7 +73,11 @@
 
     PEER_CONNECTED(number = 7001, Level.INFO, "A connection to another instance is open."),
     PEER_LOST(number = 7002, Level.WARN, "A connection to another instance was lost."),
-    PEER_REFUSED(number = 7003, Level.WARN, "A connection from another instance was refused; the reason is given."),
+    PEER_REFUSED(
+        number = 7003,
+        Level.WARN,
+        "A connection or message of another instance was refused; the reason is given.",
+    ),
     PEER_LISTENING(number = 7004, Level.INFO, "The instance accepts connections of other instances."),
     PEER_UNREACHABLE(number = 7005, Level.WARN, "A connection to another instance could not be opened."),
     PEER_HANDLER_FAILED(number = 7006, Level.ERROR, "The handler of a message from another instance failed."),
--- a/gateway/src/main/kotlin/pistachiopass/gateway/Process.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/Process.kt
@@ -1,27 +1,44 @@
 /** Runs an instance as a process: signals and the exit. */
 package pistachiopass.gateway
 
+import com.github.michaelbull.result.mapBoth
+import com.github.michaelbull.result.runCatching
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.runBlocking
 import org.apache.logging.log4j.LogManager
 import pistachiopass.entry.logging.Event
 import pistachiopass.entry.logging.EventLog
+import pistachiopass.entry.logging.field
 import pistachiopass.entry.logging.log
 import pistachiopass.gateway.settings.GatewaySettings
 import sun.misc.Signal
 import kotlin.system.exitProcess
 
-/** Starts an instance, waits for SIGTERM and stops it in order. */
+/**
+ * Starts an instance, waits for SIGTERM and stops it in order.
+ *
+ * Whatever ends it, the process exits, so that whoever runs it can start it again.
+ */
 public fun runInstance(settings: GatewaySettings, adapter: PlatformAdapter) {
     val stopAsked = CompletableDeferred<Unit>()
     Signal.handle(Signal("TERM")) { stopAsked.complete(Unit) }
     Signal.handle(Signal("HUP")) { EventLog.log(Event.SETTINGS_CHANGED) }
-    val gateway = gatewayOf(settings, adapter)
-    runBlocking {
-        gateway.start(stopAsked)
-        stopAsked.await()
-        gateway.stop()
-    }
+    val status = runCatching { runBlocking { run(gatewayOf(settings, adapter), stopAsked) } }.mapBoth(
+        success = { 0 },
+        failure = {
+            EventLog.log(Event.START_FAILED, field("error", it))
+            EXIT_FAILED
+        },
+    )
     LogManager.shutdown()
-    exitProcess(0)
+    exitProcess(status)
 }
+
+private suspend fun run(gateway: Gateway, stopAsked: CompletableDeferred<Unit>) {
+    gateway.start(stopAsked)
+    stopAsked.await()
+    gateway.stop()
+}
+
+/** Exit code of a process that could not start; settings with errors exit with 2. */
+private const val EXIT_FAILED: Int = 1
--- a/gateway/src/main/kotlin/pistachiopass/gateway/http/CallerServer.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/http/CallerServer.kt
@@ -3,6 +3,7 @@
 
 import io.netty.bootstrap.ServerBootstrap
 import io.netty.channel.Channel
+import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelHandler
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
@@ -31,14 +32,13 @@
         .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WriteBufferWaterMark(LOW_MARK_BYTES, HIGH_MARK_BYTES))
         .childHandler(handler)
         .bind(address.host, address.port)
-    return suspendCancellableCoroutine { continuation ->
-        future.addListener {
-            if (future.isSuccess) {
-                continuation.resume(future.channel())
-            } else {
-                continuation.resumeWithException(future.cause())
-            }
-        }
+    return future.awaitChannel()
+}
+
+/** Returns the channel once it is bound; throws an `IOException` if the address cannot be bound. */
+internal suspend fun ChannelFuture.awaitChannel(): Channel = suspendCancellableCoroutine { continuation ->
+    addListener {
+        if (isSuccess) continuation.resume(channel()) else continuation.resumeWithException(cause())
     }
 }
 
--- a/gateway/src/main/kotlin/pistachiopass/gateway/peers/PeerMessages.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/peers/PeerMessages.kt
@@ -62,6 +62,9 @@
     hint.pauseMillis,
 )
 
+/** Returns the messages that tell of all of [works], each of which fits a frame. */
+internal fun newsOf(works: List<HintedWork>): List<PlacedWorkNews> = works.chunked(NEWS_MAX).map(::PlacedWorkNews)
+
 @OptIn(ExperimentalSerializationApi::class)
 internal fun encode(message: PeerMessage): ByteArray = Cbor.encodeToByteArray(PeerMessage.serializer(), message)
 
@@ -75,3 +78,6 @@
     } catch (_: IllegalArgumentException) {
         null
     }
+
+/** Works in one datagram: a work takes at most 70 bytes, and a frame carries 1,472. */
+private const val NEWS_MAX: Int = 20
--- a/gateway/src/main/kotlin/pistachiopass/gateway/peers/Peers.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/peers/Peers.kt
@@ -23,6 +23,7 @@
 import pistachiopass.entry.logging.field
 import pistachiopass.entry.logging.log
 import pistachiopass.entry.logging.tokenField
+import pistachiopass.gateway.http.awaitChannel
 import pistachiopass.gateway.model.Address
 import pistachiopass.gateway.placement.FleetLoad
 import pistachiopass.gateway.placement.WorkHint
@@ -44,15 +45,16 @@
     private val askedMillis = LinkedHashMap<Long, Long>()
     private val news = ArrayList<HintedWork>()
     private var known: Set<String> = emptySet()
+    private var unreadable = 0
 
     /** Binds the port and greets the others. */
-    fun start(eventLoop: EventLoop) {
-        val future = Bootstrap()
+    suspend fun start(eventLoop: EventLoop) {
+        channel = Bootstrap()
             .group(eventLoop)
             .channel(NioDatagramChannel::class.java)
             .handler(Inbound())
             .bind(own.host, own.port)
-        channel = future.channel()
+            .awaitChannel()
         scope.launch { greetings() }
         scope.launch { proofs() }
     }
@@ -75,7 +77,8 @@
 
     private suspend fun tellNews() {
         delay(NEWS_MILLIS)
-        send(membership.live().keys, PlacedWorkNews(news.take(NEWS_MAX)))
+        val hosts = membership.live().keys
+        newsOf(news).forEach { send(hosts, it) }
         news.clear()
     }
 
@@ -95,6 +98,10 @@
         (live - known).forEach { EventLog.log(Event.PEER_CONNECTED, tokenField("peer", it), field("live", live.size)) }
         (known - live).forEach { EventLog.log(Event.PEER_LOST, tokenField("peer", it), field("live", live.size)) }
         known = live
+        if (unreadable > 0) {
+            EventLog.log(Event.PEER_REFUSED, tokenField("reason", "malformed"), field("count", unreadable))
+        }
+        unreadable = 0
     }
 
     private fun send(hosts: Set<String>, message: PeerMessage) {
@@ -130,7 +137,8 @@
     private inner class Inbound : SimpleChannelInboundHandler<DatagramPacket>() {
         override fun channelRead0(context: ChannelHandlerContext, packet: DatagramPacket) {
             val sender = packet.sender().address.hostAddress
-            decodeOrNull(ByteBufUtil.getBytes(packet.content()))?.let { receive(sender, it) }
+            val message = decodeOrNull(ByteBufUtil.getBytes(packet.content()))
+            if (message == null) unreadable++ else receive(sender, message)
         }
 
         @Deprecated("inherited")
@@ -145,9 +153,6 @@
 
 /** Time for which news of placed work is gathered; below the time in which a request begins. */
 private const val NEWS_MILLIS: Long = 10
-
-/** Works in one datagram, so that it fits a frame. */
-private const val NEWS_MAX: Int = 24
 private const val PROOF_MILLIS: Long = 300
 
 /** Age of the own proof from which on others are asked; a watch that found nothing is younger. */
--- /dev/null
+++ b/gateway/src/test/kotlin/pistachiopass/gateway/peers/PeerMessagesTest.kt
@@ -0,0 +1,42 @@
+/** Shows that messages between instances carry all that they are given and that malformed ones are noticed. */
+package pistachiopass.gateway.peers
+
+import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.TestFactory
+import pistachiopass.gateway.casesOf
+import pistachiopass.gateway.model.Incarnation
+import pistachiopass.gateway.placement.WorkHint
+import pistachiopass.model.EndpointId
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+import kotlin.test.assertTrue
+
+class PeerMessagesTest {
+    @TestFactory
+    fun `news of any number of works is told in full, in datagrams that fit a frame`(): List<DynamicTest> =
+        casesOf(listOf(0, 1, 20, 21, 60, 500)) { count ->
+            val hints = (1..count).map { hintOf(it) }
+            val datagrams = newsOf(hints.map(::hintedWorkOf)).map(::encode)
+            assertTrue(datagrams.all { it.size <= FRAME_BYTES }, "bytes: ${datagrams.map { it.size }}")
+            val told = datagrams.flatMap { assertIs<PlacedWorkNews>(decodeOrNull(it)).works }.map { it.toHint() }
+            assertEquals(hints, told)
+        }
+
+    @TestFactory
+    fun `bytes that are no message are noticed`(): List<DynamicTest> {
+        val whole = encode(newsOf(listOf(hintedWorkOf(hintOf(1)))).single())
+        val cuts = whole.indices.map { whole.copyOf(it) }
+        val others = listOf(ByteArray(64) { -1 }, "GET / HTTP/1.1".encodeToByteArray())
+        return casesOf(cuts + others) { assertEquals(null, decodeOrNull(it)) }
+    }
+
+    private fun hintOf(number: Int): WorkHint = WorkHint(
+        Incarnation(EndpointId("i-%016x".format(number)), bornMillis = 1_800_000_000_000 + number),
+        readMillis = 1_000.5 * number,
+        writeMillis = 1_500.0,
+        contextTokens = 1_000_000,
+        pauseMillis = 60_000,
+    )
+}
+
+private const val FRAME_BYTES = 1_472
