Log requests whose callers left, the longest pause of a stream, and unreadable store bodies

A store body that cannot be read was reported as unavailable. Change: pauseMillis in request-finished, readMillis in endpoint-chosen, request-failed with caller_gone, problem=unreadable.

--- a/gateway/src/main/kotlin/pistachiopass/gateway/Ports.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/Ports.kt
@@ -72,6 +72,9 @@
     /** The store does not answer, or answers with an error; nothing is known. */
     UNAVAILABLE,
 
+    /** The store answered with a body that cannot be read; nothing is known. */
+    UNREADABLE,
+
     /** The history after the revision is no longer there; all must be read anew. */
     HISTORY_GONE,
 }
--- a/gateway/src/main/kotlin/pistachiopass/gateway/forward/Forwarder.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/forward/Forwarder.kt
@@ -9,6 +9,7 @@
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.getOrElse
 import io.netty.handler.codec.http.HttpHeaderNames
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.withTimeoutOrNull
 import pistachiopass.gateway.WireFormat
 import pistachiopass.gateway.http.CallerExchange
@@ -43,7 +44,12 @@
         val resumedAfter = facts.lastEventId?.toLongOrNull()
         val answer = CallerAnswer(exchange, wire, admitted.route.isStream, resumedAfter)
         val work = RequestWork(exchange, facts, admitted, answer)
-        val ended = withTimeoutOrNull(work.leftMillis()) { Ended(run(work)) }
+        val ended = try {
+            withTimeoutOrNull(work.leftMillis()) { Ended(run(work)) }
+        } catch (e: CancellationException) {
+            log.failed(work, work.callerGone())
+            throw e
+        }
         finish(work, if (ended == null) work.timeout() else ended.failure)
     }
 
--- a/gateway/src/main/kotlin/pistachiopass/gateway/forward/RequestLog.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/forward/RequestLog.kt
@@ -30,6 +30,7 @@
         field("route", work.admitted.route.name),
         field("helpers", place.helpers.size),
         field("forecastMillis", place.forecastMillis.toLong()),
+        field("readMillis", place.hints.first().readMillis.toLong()),
         field("elapsedMillis", work.elapsedMillis()),
         field("candidates", candidates),
         field("version", work.admitted.table.version),
@@ -53,6 +54,7 @@
         field("route", work.admitted.route.name),
         field("status", work.answer.status),
         field("firstMillis", work.firstMillis()),
+        field("pauseMillis", work.answer.relay?.longestPauseMillis ?: 0),
         field("totalMillis", work.elapsedMillis()),
         field("tries", work.tries),
     )
--- a/gateway/src/main/kotlin/pistachiopass/gateway/forward/RequestWork.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/forward/RequestWork.kt
@@ -79,6 +79,10 @@
     /** Returns what the caller is told when the time is over. */
     fun timeout(): Failure =
         overAll(Failure(FailureCode.TIMEOUT, Verdict.NOT_RUN, "the time for the request is over"))
+
+    /** Returns what is recorded if the caller leaves before its answer has ended. */
+    fun callerGone(): Failure =
+        overAll(Failure(FailureCode.CALLER_GONE, Verdict.NOT_RUN, "the caller left or the instance stopped"))
 }
 
 private const val NANOS_PER_MILLI: Long = 1_000_000
--- a/gateway/src/main/kotlin/pistachiopass/gateway/forward/StreamRelay.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/forward/StreamRelay.kt
@@ -29,6 +29,12 @@
     var hasBegun: Boolean = false
         private set
 
+    /** Longest time between two writes of events so far; 0 before the second. */
+    var longestPauseMillis: Long = 0
+        private set
+
+    private var lastWriteNanos = 0L
+
     /** Passes on what [connection] delivers until its answer ends; [onEvents] is called before events are passed on. */
     suspend fun relay(connection: UpstreamConnection, onEvents: () -> Unit): StreamEnd =
         EventBuffer().use { buffer ->
@@ -80,8 +86,14 @@
 
     private suspend fun write(events: ByteBuf, connection: UpstreamConnection, onEvents: () -> Unit) {
         onEvents()
-        if (!hasBegun) begin()
+        val nowNanos = System.nanoTime()
+        if (!hasBegun) {
+            begin()
+        } else {
+            longestPauseMillis = maxOf(longestPauseMillis, (nowNanos - lastWriteNanos) / NANOS_PER_MILLI)
+        }
         hasBegun = true
+        lastWriteNanos = nowNanos
         if (exchange.isWritable) {
             exchange.write(events)
         } else {
@@ -97,3 +109,4 @@
 
 /** Longest event that is held; an endpoint must not fill the instance's memory. */
 private const val EVENT_MAX_BYTES: Int = 256 * 1024
+private const val NANOS_PER_MILLI: Long = 1_000_000
