Refuse requests that a stopping instance might cut off

A stopping instance let in whatever reached it until its end; a stream that came 5.97 s after SIGTERM was cut off when the grace ended. The balancer goes on sending callers while fewer than half of a data centre's instances are in rotation. Ruled out: kept connections, which are closed with the running answer, and idle ones, which are closed every 50 ms. Change: from 2.5 s after SIGTERM a request is let in only if its route's timeout ends before the grace; others get an immediate 503, not run, to come back after 100 ms. In the first 2.5 s all are let in, as before.

--- a/entry/src/main/kotlin/pistachiopass/entry/endpoint/EndpointClient.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/endpoint/EndpointClient.kt
@@ -191,7 +191,7 @@
 private const val CONNECT_TIMEOUT_MILLIS: Long = 1_000
 private const val LOAD_TIMEOUT_MILLIS: Long = 1_000
 
-/** Calls at a time, each with a thread that reads its answer; about the memory of 4 GiB of stacks if all are used. */
+/** Calls at a time; each holds a connection, and a thread while its answer is read. */
 private const val MAX_CONNECTIONS: Int = 4_096
 private const val MAX_CONNECTIONS_PER_ENDPOINT: Int = 1_024
 private const val MILLIS_PER_SECOND: Long = 1_000
--- a/gateway/src/main/kotlin/pistachiopass/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/Gateway.kt
@@ -19,6 +19,7 @@
 import pistachiopass.entry.logging.EventLog
 import pistachiopass.entry.logging.field
 import pistachiopass.entry.logging.log
+import pistachiopass.gateway.forward.BALANCER_MILLIS
 import pistachiopass.gateway.forward.ColdBudget
 import pistachiopass.gateway.forward.EndpointRecords
 import pistachiopass.gateway.forward.Forwarder
@@ -27,6 +28,7 @@
 import pistachiopass.gateway.forward.Reservations
 import pistachiopass.gateway.forward.Sender
 import pistachiopass.gateway.forward.SenderParts
+import pistachiopass.gateway.forward.Stopping
 import pistachiopass.gateway.forward.admissionOf
 import pistachiopass.gateway.forward.holdMillisOf
 import pistachiopass.gateway.http.CallerConnections
@@ -79,7 +81,8 @@
     private val health = EndpointHealth(::steadyMillis, EventLog)
     private val load = FleetLoad(::steadyMillis)
     private val connections = CallerConnections()
-    private val admission = admissionOf(beliefs, settings.bounds.revokeMillis.toLong())
+    private val stopping = Stopping(::steadyMillis)
+    private val admission = admissionOf(beliefs, settings.bounds.revokeMillis.toLong(), stopping)
     private val wire = adapter.wire
     private val membership = Membership(addressOf(settings.controlAddress).host, seedHosts(), clock::nowMillis)
     private val peers = Peers(
@@ -118,8 +121,9 @@
 
     /** Serves on until the balancer has noticed, then ends the running requests within the time of grace. */
     public suspend fun stop(): Unit = withContext(scope.coroutineContext) {
-        val graceMillis = (settings.bounds.graceSeconds * MILLIS_PER_SECOND).toLong()
-        val deadlineMillis = steadyMillis() + graceMillis - STOP_MARGIN_MILLIS
+        val graceMillis = (settings.bounds.graceSeconds * MILLIS_PER_SECOND).toLong() - STOP_MARGIN_MILLIS
+        val deadlineMillis = steadyMillis() + graceMillis
+        stopping.begin(graceMillis)
         isStopping = true
         connections.isClosing = true
         EventLog.log(Event.STOP_BEGUN, field("connections", connections.size))
@@ -204,8 +208,6 @@
 private const val READY_POLL_MILLIS: Long = 10
 private const val HOUSEKEEPING_MILLIS: Long = 250
 
-/** The balancer probes once a second and takes an instance out after two misses. */
-private const val BALANCER_MILLIS: Long = 2_500
 private const val STOP_POLL_MILLIS: Long = 50
 
 /** Time kept free at the end of the grace to exit. */
--- a/gateway/src/main/kotlin/pistachiopass/gateway/WarmUp.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/WarmUp.kt
@@ -29,6 +29,7 @@
 import pistachiopass.gateway.forward.Reservations
 import pistachiopass.gateway.forward.Sender
 import pistachiopass.gateway.forward.SenderParts
+import pistachiopass.gateway.forward.Stopping
 import pistachiopass.gateway.forward.admissionOf
 import pistachiopass.gateway.http.CallerConnections
 import pistachiopass.gateway.http.CallerContext
@@ -137,7 +138,7 @@
     private fun forwarder(): Forwarder {
         val load = FleetLoad(::steadyMillis)
         val health = EndpointHealth(::steadyMillis, silent)
-        val admission = admissionOf(beliefs, bounds.revokeMillis.toLong())
+        val admission = admissionOf(beliefs, bounds.revokeMillis.toLong(), Stopping(::steadyMillis))
         val parts = SenderParts(
             wire,
             beliefs,
--- a/gateway/src/main/kotlin/pistachiopass/gateway/forward/Admission.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/forward/Admission.kt
@@ -1,4 +1,4 @@
-/** Decides whether a request is let in, by the configuration in force and the age of its proof. */
+/** Decides whether a request is let in, by the configuration in force, the age of its proof and a stop under way. */
 package pistachiopass.gateway.forward
 
 import com.github.michaelbull.result.Err
@@ -33,6 +33,7 @@
     private val beliefs: Beliefs,
     private val keyProofMillis: Long,
     private val denyProofMillis: Long,
+    private val stopping: Stopping,
 ) {
     /** Returns how a request for [host] and [path] is let in, or why it is not. */
     public fun admit(facts: RequestFacts, host: String, path: String): Result<Admitted, Failure> {
@@ -41,7 +42,7 @@
         return when {
             table == null -> Err(unavailable("no configuration is known yet"))
             route == null -> Err(unknown(FailureCode.NO_ROUTE, "no route matches"))
-            else -> admit(table, route, facts)
+            else -> stopping.objectionOrNull(route)?.let { Err(it) } ?: admit(table, route, facts)
         }
     }
 
@@ -91,9 +92,9 @@
         Failure(FailureCode.NO_ENDPOINT, Verdict.NOT_RUN, message, retryAfterMillis = STALE_RETRY_MILLIS)
 }
 
-/** Returns an admission by [beliefs] for keys whose removal is to bind within [revokeMillis]. */
-public fun admissionOf(beliefs: Beliefs, revokeMillis: Long): Admission =
-    Admission(beliefs, revokeMillis * KEY_PROOF_PERCENT / PERCENT, DENY_PROOF_MILLIS)
+/** Returns an admission by [beliefs] and [stopping] for keys whose removal is to bind within [revokeMillis]. */
+public fun admissionOf(beliefs: Beliefs, revokeMillis: Long, stopping: Stopping): Admission =
+    Admission(beliefs, revokeMillis * KEY_PROOF_PERCENT / PERCENT, DENY_PROOF_MILLIS, stopping)
 
 /** Part of the bound on removed keys that a proof may be old; the rest covers the way from the caller. */
 private const val KEY_PROOF_PERCENT: Long = 80
--- /dev/null
+++ b/gateway/src/test/kotlin/pistachiopass/gateway/forward/StoppingTest.kt
@@ -0,0 +1,38 @@
+/** Shows which requests a stopping instance still lets in: none that it might cut off after callers stopped coming. */
+package pistachiopass.gateway.forward
+
+import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.TestFactory
+import pistachiopass.gateway.casesOf
+import pistachiopass.gateway.routeOf
+import pistachiopass.model.Verdict
+import kotlin.test.assertEquals
+
+/** A request that comes [sinceMillis] after SIGTERM, -1 without one, on a route with a timeout. */
+private data class Late(val sinceMillis: Long, val timeoutMillis: Long, val isLetIn: Boolean)
+
+class StoppingTest {
+    @TestFactory
+    fun `a request is let in only if it ends before the grace does`(): List<DynamicTest> = casesOf(
+        listOf(
+            Late(sinceMillis = -1, timeoutMillis = 60_000, isLetIn = true),
+            Late(sinceMillis = 0, timeoutMillis = 60_000, isLetIn = true),
+            Late(sinceMillis = 2_500, timeoutMillis = 60_000, isLetIn = true),
+            Late(sinceMillis = 2_501, timeoutMillis = 60_000, isLetIn = false),
+            Late(sinceMillis = 5_968, timeoutMillis = 10_000, isLetIn = false),
+            Late(sinceMillis = 2_501, timeoutMillis = 800, isLetIn = true),
+            Late(sinceMillis = 6_600, timeoutMillis = 800, isLetIn = true),
+            Late(sinceMillis = 6_601, timeoutMillis = 800, isLetIn = false),
+        ),
+    ) { late ->
+        var nowMillis = 1_000L
+        val stopping = Stopping { nowMillis }
+        if (late.sinceMillis >= 0) stopping.begin(GRACE_MILLIS)
+        nowMillis += maxOf(0, late.sinceMillis)
+        val refusal = stopping.objectionOrNull(routeOf("/a/").copy(timeoutMillis = late.timeoutMillis))
+        assertEquals(late.isLetIn, refusal == null, "$refusal")
+        if (refusal != null) assertEquals(Verdict.NOT_RUN, refusal.verdict)
+    }
+}
+
+private const val GRACE_MILLIS = 7_400L
