Count sampled work of the fault matrix from both ends of its sample

Cause: ProcessCasesTest reported "engine-a-1 got q-33 4980 ms after it began to leave" (bound 3 s) in one of two runs. Work of engines is known by sampling and carried only the time of the sample before, so a request after the engine's return counted as one before it.

Change: EndpointWork carries both ends of its sample; work is a finding unless the endpoint or data centre returned before the sample's end. As strict as before otherwise: new cases catch work that was sampled just before a return.

Ruled out: a stale route and a late table (in force 3 ms after it was published).

--- a/proof/src/main/kotlin/pistachiopass/proof/check/EndpointChecks.kt
+++ b/proof/src/main/kotlin/pistachiopass/proof/check/EndpointChecks.kt
@@ -55,7 +55,7 @@
 internal fun findWorkInDataCentreOut(history: History): List<Finding> {
     val changes = history.all<DataCentreChanged>()
     return history.all<EndpointWork>().mapNotNull { work ->
-        val last = changes.lastOrNull { it.dataCentre == work.dataCentre && it.atMillis <= work.atMillis }
+        val last = changes.lastOrNull { it.dataCentre == work.dataCentre && it.atMillis <= work.sampledMillis }
         if (last == null || !last.isOut) return@mapNotNull null
         work.findingAfter(last.atMillis, "its data centre ${work.dataCentre} was taken out")
     }
@@ -65,15 +65,17 @@
 internal fun findWorkOnLeaving(history: History): List<Finding> {
     val changes = history.all<EndpointChanged>()
     return history.all<EndpointWork>().mapNotNull { work ->
-        val last = changes.lastOrNull { it.endpoint == work.endpoint && it.atMillis <= work.atMillis }
+        val last = changes.lastOrNull { it.endpoint == work.endpoint && it.atMillis <= work.sampledMillis }
         if (last == null || !last.isLeaving) return@mapNotNull null
         work.findingAfter(last.atMillis, "it began to leave")
     }
 }
 
+/** The work may have come at any time of its sample, so it counts from the sample's start, and also after its end. */
 private fun EndpointWork.findingAfter(changeMillis: Long, change: String): Finding? {
     val lateMillis = atMillis - changeMillis
-    return Finding(atMillis, "$endpoint got $request $lateMillis ms after $change")
+    val latestMillis = sampledMillis - changeMillis
+    return Finding(atMillis, "$endpoint got $request $lateMillis to $latestMillis ms after $change")
         .takeIf { lateMillis > NO_NEW_WORK_MILLIS }
 }
 
--- a/proof/src/main/kotlin/pistachiopass/proof/harness/Collector.kt
+++ b/proof/src/main/kotlin/pistachiopass/proof/harness/Collector.kt
@@ -86,7 +86,7 @@
         private fun addRun(request: EngineRequest, id: RequestId) {
             val run = RequestRun(lastMillis, engine.id, id, stream = request.streamId)
             if (runs.putIfAbsent("${engine.id}/${request.streamId}", run) == null) {
-                recorder.record { EndpointWork(run.atMillis, engine.id, engine.dataCentre, id) }
+                recorder.record { EndpointWork(run.atMillis, it, engine.id, engine.dataCentre, id) }
             }
         }
 
@@ -122,7 +122,7 @@
             val id = runs[key]?.request ?: requestOf(BodyHash(report.bodyHash), report.requestId.orEmpty())
             val run = RequestRun(lastMillis, plain.id, id, booking = report.bodyHash, count = report.count)
             if (runs.put(key, run) == null) {
-                recorder.record { EndpointWork(run.atMillis, plain.id, plain.dataCentre, id) }
+                recorder.record { EndpointWork(run.atMillis, it, plain.id, plain.dataCentre, id) }
             }
         }
     }
--- a/proof/src/main/kotlin/pistachiopass/proof/harness/FleetLayout.kt
+++ b/proof/src/main/kotlin/pistachiopass/proof/harness/FleetLayout.kt
@@ -17,8 +17,6 @@
 import pistachiopass.model.RouteName
 import pistachiopass.model.RoutesTable
 import pistachiopass.proof.history.MemoryLimits
-import java.net.InetAddress
-import java.net.ServerSocket
 
 /** Holds the documents and the ports of a fleet. */
 public class FleetLayout internal constructor(
@@ -72,20 +70,6 @@
     models = listOf(ModelName(MODEL)),
 )
 
-/** Takes ports that no process listens on at the moment. */
-private class FreePorts {
-    private val taken: MutableSet<Int> = HashSet()
-
-    fun next(): Int {
-        while (true) {
-            val port = ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { it.localPort }
-            if (taken.add(port)) return port
-        }
-    }
-
-    fun address(): String = "127.0.0.1:${next()}"
-}
-
 /** The model that the fleet serves. */
 public const val MODEL: String = "drape-8b"
 
--- a/proof/src/main/kotlin/pistachiopass/proof/history/HistoryEvent.kt
+++ b/proof/src/main/kotlin/pistachiopass/proof/history/HistoryEvent.kt
@@ -83,9 +83,11 @@
     val count: Int = 1,
 ) : HistoryEvent
 
-/** An endpoint took a request that it had not seen before, at [atMillis] or later. */
+/** An endpoint took a request that it had not seen before, between [atMillis] and [sampledMillis]. */
 public data class EndpointWork(
     override val atMillis: Long,
+    /** End of the sample that first showed the request. */
+    val sampledMillis: Long,
     val endpoint: EndpointId,
     val dataCentre: DataCentreId,
     val request: RequestId,
--- a/proof/src/main/kotlin/pistachiopass/proof/matrix/Probe.kt
+++ b/proof/src/main/kotlin/pistachiopass/proof/matrix/Probe.kt
@@ -7,6 +7,7 @@
 import pistachiopass.model.Endpoint
 import pistachiopass.model.Instance
 import pistachiopass.model.RequestId
+import pistachiopass.model.Verdict
 import pistachiopass.proof.harness.Callers
 import pistachiopass.proof.harness.Fleet
 import pistachiopass.proof.harness.ModelRequest
@@ -14,6 +15,7 @@
 import pistachiopass.proof.history.EndpointWork
 import pistachiopass.proof.history.HistoryEvent
 import pistachiopass.proof.history.Recorder
+import pistachiopass.proof.history.RequestRefused
 import pistachiopass.standins.fault.FaultSetting
 
 /** Sends the model request and waits for its steps. */
@@ -22,14 +24,27 @@
     private val callers: Callers,
     private val recorder: Recorder,
 ) {
-    /** Sends a small model request in the probe's workspace and returns the engine that got it. */
+    /**
+     * Sends a small model request in the probe's workspace and returns the engine that got it. A request that was
+     * refused as not run is sent again, since an instance that has just started may still lack load reports.
+     */
     suspend fun engineOfProbe(instance: Instance): Endpoint {
-        val request = ModelRequest(RequestId("first"), PROBE_PROMPT_TOKENS + 1, 1, PROBE_WORKSPACE)
-        callers.ask(request, instance)
-        val work = awaitValue { work(request.id) }
-        return fleet.layout.engines.first { it.id == work?.endpoint }
+        var attempts = 0
+        var outcome: HistoryEvent? = null
+        withTimeoutOrNull(LIMIT_MILLIS) {
+            do {
+                if (attempts > 0) delay(REFUSED_RETRY_MILLIS)
+                outcome = callers.ask(firstRequest(++attempts), instance)
+            } while ((outcome as? RequestRefused)?.verdict == Verdict.NOT_RUN)
+        }
+        val work = awaitValue { work(firstRequest(attempts).id) }
+        checkNotNull(work) { "no engine got any of $attempts requests; the last outcome was $outcome" }
+        return fleet.layout.engines.first { it.id == work.endpoint }
     }
 
+    private fun firstRequest(attempt: Int): ModelRequest =
+        ModelRequest(RequestId("first-$attempt"), PROBE_PROMPT_TOKENS + attempt, 1, PROBE_WORKSPACE)
+
     /** Sends the model request at which faults are injected. */
     suspend fun askProbe(instance: Instance): HistoryEvent? =
         callers.ask(ModelRequest(PROBE, PROBE_PROMPT_TOKENS, PROBE_ANSWER_TOKENS, PROBE_WORKSPACE), instance)
@@ -74,5 +89,6 @@
 internal val PROBE: RequestId = RequestId("probe")
 private const val PROBE_WORKSPACE: String = "p"
 private const val PROBE_PROMPT_TOKENS: Int = 4_000
+private const val REFUSED_RETRY_MILLIS: Long = 300
 private const val SLOW_MILLIS: Long = 800
 private const val POLL_MILLIS: Long = 20
--- a/proof/src/test/kotlin/pistachiopass/proof/check/CheckersTest.kt
+++ b/proof/src/test/kotlin/pistachiopass/proof/check/CheckersTest.kt
@@ -81,8 +81,13 @@
     held: Set<RequestId> = emptySet(),
 ): MemorySampled = MemorySampled(atMillis, ENGINE, LIMITS, peakTokens, cold.first, cold.second, held)
 
-private fun work(atMillis: Long, endpoint: EndpointId = ENGINE): EndpointWork = EndpointWork(
+private fun work(
+    atMillis: Long,
+    endpoint: EndpointId = ENGINE,
+    sampledMillis: Long = atMillis + 100,
+): EndpointWork = EndpointWork(
     atMillis,
+    sampledMillis,
     endpoint,
     CENTRE,
     R1
@@ -101,7 +106,8 @@
     Case(about, name, about, endMillis, events.toList())
 
 private val CASES: List<Case> =
-    requestCases() + answerCases() + runCases() + endpointCases() + workCases() + controlCases()
+    requestCases() + answerCases() + runCases() +
+        endpointCases() + dataCentreOutCases() + leavingCases() + controlCases()
 
 private fun requestCases(): List<Case> = listOf(
     right(Property.ENDS_IN_TIME, "answered before the deadline", sent(0), RequestAnswered(9_999, R1)),
@@ -197,7 +203,7 @@
     wrong(Property.COLD_LIMIT, "too many requests", memory(5, 30, cold = 30L to 3)),
 )
 
-private fun workCases(): List<Case> = listOf(
+private fun dataCentreOutCases(): List<Case> = listOf(
     right(
         Property.DATA_CENTRE_OUT,
         "work before, shortly after and since the return",
@@ -213,12 +219,29 @@
         DataCentreChanged(10, DataCentreId("b"), isOut = true),
         work(9_000)
     ),
+    right(
+        Property.DATA_CENTRE_OUT,
+        "work sampled across its return",
+        DataCentreChanged(10, CENTRE, isOut = true),
+        DataCentreChanged(5_015, CENTRE, isOut = false),
+        work(4_990, sampledMillis = 5_095)
+    ),
     wrong(
         Property.DATA_CENTRE_OUT,
         "work after a few seconds",
         DataCentreChanged(10, CENTRE, isOut = true),
         work(3_011)
     ),
+    wrong(
+        Property.DATA_CENTRE_OUT,
+        "work sampled just before its return",
+        DataCentreChanged(10, CENTRE, isOut = true),
+        work(4_900, sampledMillis = 5_014),
+        DataCentreChanged(5_015, CENTRE, isOut = false)
+    ),
+)
+
+private fun leavingCases(): List<Case> = listOf(
     right(
         Property.ENDPOINT_LEAVING,
         "work on it before and shortly after, on others later",
@@ -234,12 +257,26 @@
         EndpointChanged(5_000, ENGINE, isLeaving = false),
         work(9_000)
     ),
+    right(
+        Property.ENDPOINT_LEAVING,
+        "work sampled across its return",
+        EndpointChanged(10, ENGINE, isLeaving = true),
+        EndpointChanged(5_015, ENGINE, isLeaving = false),
+        work(4_990, sampledMillis = 5_095)
+    ),
     wrong(
         Property.ENDPOINT_LEAVING,
         "work after a few seconds",
         EndpointChanged(10, ENGINE, isLeaving = true),
         work(3_011)
     ),
+    wrong(
+        Property.ENDPOINT_LEAVING,
+        "work sampled just before its return",
+        EndpointChanged(10, ENGINE, isLeaving = true),
+        work(4_900, sampledMillis = 5_014),
+        EndpointChanged(5_015, ENGINE, isLeaving = false)
+    ),
 )
 
 private fun controlCases(): List<Case> = listOf(
--- a/proof/src/test/kotlin/pistachiopass/proof/stream/StreamFaultsTest.kt
+++ b/proof/src/test/kotlin/pistachiopass/proof/stream/StreamFaultsTest.kt
@@ -35,11 +35,11 @@
 import pistachiopass.model.Instance
 import pistachiopass.model.InstanceId
 import pistachiopass.model.InstanceList
+import pistachiopass.proof.harness.FreePorts
 import pistachiopass.standins.engine.EngineServer
 import pistachiopass.standins.engine.EngineSettings
 import pistachiopass.standins.platform.DocumentStore
 import pistachiopass.standins.platform.startPlatform
-import java.net.ServerSocket
 import java.util.Base64
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -239,15 +239,15 @@
         private fun settings(name: String, platformPort: Int) = Settings(
             InstanceId(name),
             DataCentreId("d"),
-            httpAddress = freeAddress(),
-            peerAddress = freeAddress(),
-            adminAddress = freeAddress(),
+            httpAddress = ports.address(),
+            peerAddress = ports.address(),
+            adminAddress = ports.address(),
             platformAddress = "127.0.0.1:$platformPort",
             sharedKey = Base64.getEncoder().encodeToString(ByteArray(32) { it.toByte() }),
             limits = LimitSettings(readIdleMillis = 500),
         )
 
-        private fun freeAddress(): String = ServerSocket(0).use { "127.0.0.1:${it.localPort}" }
+        private val ports = FreePorts()
 
         @JvmStatic
         fun faults(): List<FaultCase> = listOf(
