--- /dev/null
+++ b/coordination/src/main/kotlin/pistachiopass/published/FeedSubscriptions.kt
@@ -0,0 +1,68 @@
+/**
+ * The subscriptions of one instance at the sources of its published state.
+ *
+ * A subscription counts from the time at which it was sent. The source's clock only tells how long after the arrival of
+ * the subscription an update was made, and the source's monotonic clock does not advance while it is paused. So the
+ * update was made no earlier than that long after the sending, and the state was current that much less its age after
+ * the sending, however late the update is read.
+ */
+package pistachiopass.published
+
+/** Makes subscriptions, and interprets the updates that answer them. Confined to one thread. */
+public class FeedSubscriptions<S : Any>(
+    /** A clock that advances also while the process or the machine is paused. */
+    private val nowMillis: () -> Long,
+    private val renewalMillis: Long = RENEWAL_MILLIS,
+) {
+    private class Subscription(val source: Any, val sentMillis: Long)
+
+    private class Source(var subscribedMillis: Long, val sinceMillis: Long, var answeredMillis: Long?)
+
+    private val subscriptions = LinkedHashMap<Long, Subscription>()
+    private val sources = HashMap<S, Source>()
+    private var lastNonce = 0L
+
+    /** Subscribes to [wanted], in place of other sources, and returns the subscriptions to send now. */
+    public fun subscribe(wanted: Collection<S>, position: Revision?): List<Pair<S, FeedSubscription>> {
+        sources.keys.retainAll(wanted.toSet())
+        return wanted.filter(::isDue).map { it to subscriptionOf(it, position) }
+    }
+
+    /** Is true if [source] was asked some time ago and has not sent an update since or lately. */
+    public fun isSilent(source: S): Boolean {
+        val state = sources[source] ?: return false
+        return nowMillis() - (state.answeredMillis ?: state.sinceMillis) > SILENT_MILLIS
+    }
+
+    /** Returns when the state of [update] was current, on this instance's clock; null if it answers nothing known. */
+    public fun confirmedMillisOrNull(source: S, update: FeedUpdate): Long? {
+        val subscription = subscriptions[update.nonce]?.takeIf { it.source == source } ?: return null
+        sources[source]?.answeredMillis = nowMillis()
+        return subscription.sentMillis + update.elapsedMillis - update.ageMillis
+    }
+
+    private fun isDue(source: S): Boolean {
+        val state = sources[source] ?: return true
+        val periodMillis = if (state.answeredMillis == null) FIRST_RENEWAL_MILLIS else renewalMillis
+        return nowMillis() - state.subscribedMillis >= periodMillis
+    }
+
+    private fun subscriptionOf(source: S, position: Revision?): FeedSubscription {
+        val now = nowMillis()
+        sources.getOrPut(source) { Source(now, now, answeredMillis = null) }.subscribedMillis = now
+        subscriptions[++lastNonce] = Subscription(source, now)
+        while (subscriptions.size > SUBSCRIPTIONS_MAX) subscriptions.remove(subscriptions.keys.first())
+        return FeedSubscription(lastNonce, position)
+    }
+}
+
+private const val RENEWAL_MILLIS: Long = 1_000
+
+/** Time after which a subscription without any update is sent again; a datagram takes a few milliseconds. */
+private const val FIRST_RENEWAL_MILLIS: Long = 150
+
+/** Time without an update after which a source is silent; it sends one for each confirmation of its state. */
+private const val SILENT_MILLIS: Long = 1_000
+
+/** Subscriptions that are remembered; a source answers one until it has the next. */
+private const val SUBSCRIPTIONS_MAX: Int = 64
--- /dev/null
+++ b/coordination/src/main/kotlin/pistachiopass/published/StateFeed.kt
@@ -0,0 +1,98 @@
+/**
+ * Passes the published state on to other instances that do not watch the store themselves.
+ *
+ * A reader subscribes by a datagram with a nonce and renews the subscription every second or so. It gets an update as
+ * soon as something has changed or the state was confirmed again. An update says how long ago, on this instance's
+ * monotonic clock, the subscription arrived, and how old the state was at that moment. The reader counts from the time
+ * at which it sent the subscription, so no delay, loss or pause makes the state look younger than it is: see
+ * [FeedSubscriptions]. Any instance serves as a source, whether it watches the store or subscribes itself.
+ *
+ * For fleets of dozens to hundreds of instances: the store gets calls from a few instances of each data centre only.
+ */
+package pistachiopass.published
+
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+
+/** Subscribes to a source, or renews the subscription; [position] is that of the reader, null if it has no state. */
+@Serializable
+public data class FeedSubscription(
+    @SerialName("n") val nonce: Long,
+    @SerialName("p") val position: Revision?,
+)
+
+/**
+ * The state of a source, [elapsedMillis] after it received the subscription [nonce].
+ *
+ * The state was current [ageMillis] ago. [items] are the changes after [base]; a reader that is not at [base] or beyond
+ * fetches the changes that it lacks.
+ */
+@Serializable
+public class FeedUpdate(
+    @SerialName("n") public val nonce: Long,
+    @SerialName("e") public val elapsedMillis: Long,
+    @SerialName("a") public val ageMillis: Long,
+    @SerialName("p") public val position: Revision,
+    @SerialName("b") public val base: Revision,
+    @SerialName("i") public val items: List<PublishedItem>,
+)
+
+/** Limits of a feed. */
+public class FeedSettings(
+    /** Time without a renewal after which a subscription ends; a few renewals. */
+    public val subscriptionMillis: Long = 3_500,
+    /** Size of the items of one update, so that it fits a datagram; larger changes are fetched. */
+    public val itemBytesMax: Int = 1_100,
+)
+
+/** Answers the subscriptions of readers, which [S] names. Confined to one thread. */
+public class StateFeed<S : Any>(
+    private val log: PublishedLog,
+    /** Age of the state in milliseconds, or null if it was never confirmed. */
+    private val ageMillisOrNull: () -> Long?,
+    /** A clock that does not advance while the process or the machine is paused. */
+    private val monotonicMillis: () -> Long,
+    private val settings: FeedSettings = FeedSettings(),
+) {
+    private class Subscription(val nonce: Long, val atMillis: Long, val position: Revision?)
+
+    private val subscriptions = HashMap<S, Subscription>()
+
+    /** Number of readers with a subscription. */
+    public val readers: Int get() = subscriptions.size
+
+    /** Records the subscription of [reader] and returns the update that answers it, or null if no state is known. */
+    public fun subscribe(reader: S, subscription: FeedSubscription): FeedUpdate? {
+        val held = Subscription(subscription.nonce, monotonicMillis(), subscription.position)
+        subscriptions[reader] = held
+        return updateOrNull(held)
+    }
+
+    /** Returns the updates for all readers; to be sent when the state has changed or was confirmed again. */
+    public fun updates(): List<Pair<S, FeedUpdate>> {
+        val endedMillis = monotonicMillis() - settings.subscriptionMillis
+        subscriptions.values.removeIf { it.atMillis < endedMillis }
+        return subscriptions.mapNotNull { (reader, held) -> updateOrNull(held)?.let { reader to it } }
+    }
+
+    private fun updateOrNull(held: Subscription): FeedUpdate? {
+        val position = log.position
+        val ageMillis = ageMillisOrNull()
+        if (position == null || ageMillis == null) return null
+        val changes = held.position?.let(log::changesAfter)
+        val isSmall = changes != null && !changes.isFull && changes.items.sumOf(::bytesOf) <= settings.itemBytesMax
+        return FeedUpdate(
+            held.nonce,
+            elapsedMillis = monotonicMillis() - held.atMillis,
+            ageMillis,
+            position,
+            base = if (isSmall) checkNotNull(held.position) else position,
+            items = if (isSmall) checkNotNull(changes).items else emptyList(),
+        )
+    }
+
+    private fun bytesOf(item: PublishedItem): Int = item.key.length + (item.value?.size ?: 0) + ITEM_OVERHEAD_BYTES
+}
+
+/** Encoded size of an item's revision and field names. */
+private const val ITEM_OVERHEAD_BYTES: Int = 24
--- a/entry/src/main/kotlin/pistachiopass/entry/logging/Event.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/logging/Event.kt
@@ -44,6 +44,12 @@
     STARTED_ALONE(number = 2006, Level.WARN, "No peer had tables at the start; only those of the platform are used."),
     PLATFORM_UNREACHABLE(number = 2010, Level.WARN, "The platform does not answer; the last tables stay in force."),
     PLATFORM_BACK(number = 2011, Level.INFO, "The platform answers again."),
+    STORE_WATCH_CHANGED(
+        number = 2012,
+        Level.INFO,
+        "The instance begins or ends to watch the store itself; age and sources of its state are given.",
+    ),
+    STATE_NOT_FETCHED(number = 2013, Level.WARN, "Another instance did not give its published state in time."),
 
     ROUTE_CHOSEN(number = 3001, Level.INFO, "A request matched a route."),
     NO_ROUTE(number = 3002, Level.WARN, "A request matched no route."),
--- a/gateway/src/main/kotlin/pistachiopass/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/Gateway.kt
@@ -29,6 +29,7 @@
 import pistachiopass.gateway.forward.RetryBudget
 import pistachiopass.gateway.forward.Sender
 import pistachiopass.gateway.forward.SenderContext
+import pistachiopass.gateway.forward.SharedLimits
 import pistachiopass.gateway.forward.admissionOf
 import pistachiopass.gateway.forward.holdMillisOf
 import pistachiopass.gateway.http.CallerConnections
@@ -41,21 +42,29 @@
 import pistachiopass.gateway.model.CallerLimits
 import pistachiopass.gateway.model.EndpointIncarnation
 import pistachiopass.gateway.model.addressOrNull
-import pistachiopass.gateway.peers.Membership
+import pistachiopass.gateway.peers.PeerContext
+import pistachiopass.gateway.peers.PeerStateClient
+import pistachiopass.gateway.peers.PeerStateHandler
 import pistachiopass.gateway.peers.Peers
 import pistachiopass.gateway.placement.EndpointHealth
 import pistachiopass.gateway.placement.FleetLoad
 import pistachiopass.gateway.placement.Placement
 import pistachiopass.gateway.settings.GatewaySettings
+import pistachiopass.gateway.state.PublishedState
 import pistachiopass.gateway.state.StateWatch
 import pistachiopass.gateway.state.ageClockOf
 import pistachiopass.gateway.state.knownStateOf
+import pistachiopass.membership.GossipMembership
+import pistachiopass.membership.Member
+import pistachiopass.membership.MemberHost
 import java.util.concurrent.TimeUnit
 
 /** Creates the platform-specific parts of an instance, which make outgoing calls through the given HTTP client. */
 public interface PlatformAdapter {
     public val wire: WireFormat
 
+    public val decoder: StateDecoder
+
     /** Returns a reader of the state that the platform publishes in the store at [store]. */
     public fun stateSource(client: HttpClient, store: Address): StateSource
 
@@ -72,11 +81,13 @@
     private val scope = CoroutineScope(SupervisorJob() + eventLoop.asCoroutineDispatcher() + exceptionHandler)
     private val clock = ageClockOf()
     private val knownState = knownStateOf(clock)
+    private val state = PublishedState(knownState, adapter.decoder)
     private val orderClient = HttpClient(UpstreamPool(eventLoop, clock))
     private val source = adapter.stateSource(
         HttpClient(UpstreamPool(eventLoop, clock)),
         addressOf(settings.storeAddress)
     )
+    private val watch = StateWatch(source, state, clock)
     private val endpointPool = UpstreamPool<EndpointIncarnation>(eventLoop, clock)
     private val health = EndpointHealth(::monotonicMillis, EventLog)
     private val load = FleetLoad(::monotonicMillis)
@@ -84,15 +95,16 @@
     private val shutdown = GracefulShutdown(::monotonicMillis)
     private val admission = admissionOf(knownState, settings.bounds.revokeMillis.toLong(), shutdown)
     private val wire = adapter.wire
-    private val membership = Membership(addressOf(settings.controlAddress).host, seedHosts(), clock::nowMillis)
-    private val peers = Peers(
-        Address(addressOf(settings.controlAddress).host, settings.peerPort),
-        membership,
-        knownState,
-        load,
-        clock,
-        scope,
+    private val control = addressOf(settings.controlAddress)
+    private val membership = GossipMembership(
+        Member(MemberHost(control.host), settings.dataCentre, incarnation = System.currentTimeMillis()),
+        settings.seeds.mapNotNull { addressOrNull(it)?.host }.map(::MemberHost),
+        clock::nowMillis,
     )
+    private val limits = SharedLimits(clock::nowMillis, membership::instances)
+    private val states = PeerStateClient(HttpClient(UpstreamPool(eventLoop, clock)))
+    private val peers =
+        Peers(control, settings.peerPort, PeerContext(membership, state, watch, states, load), clock, scope)
     private val forwarder = forwarder(adapter)
     private var isStopping = false
     private var isWarm = false
@@ -104,12 +116,14 @@
         val callers = CallerContext(scope, forwarder, ::callerLimits, connections)
         val readiness = ReadinessHandler(wire.readyPath, ::isReady)
         val probes = CallerContext(scope, readiness, { DEFAULT_LIMITS }, CallerConnections())
+        val readers = CallerContext(scope, PeerStateHandler(state), { DEFAULT_LIMITS }, CallerConnections())
         listeners = listOf(
             listen(group, addressOf(settings.callerAddress)) { serveCallers(it, callers) },
             listen(group, addressOf(settings.readyAddress)) { serveCallers(it, probes) },
+            listen(group, control) { serveCallers(it, readers) },
         )
         peers.start(eventLoop)
-        scope.launch { StateWatch(source, knownState, clock).run() }
+        scope.launch { watch.run() }
         scope.launch { housekeeping() }
         scope.launch {
             WarmUp(wire, eventLoop, group, settings, scope).run { connections.size > 0 }
@@ -132,6 +146,7 @@
         isStopping = true
         connections.isClosing = true
         EventLog.log(Event.STOP_BEGUN, field("connections", connections.size))
+        peers.leave()
         delay(BALANCER_DRAIN_MILLIS)
         while (connections.size > 0 && monotonicMillis() < deadlineMillis) {
             connections.closeIdle()
@@ -153,12 +168,10 @@
     private fun isReady(): Boolean =
         !isStopping && isWarm && knownState.table != null && knownState.freshness.isWithin(READY_STATE_AGE_MAX_MILLIS)
 
-    private fun seedHosts(): List<String> = settings.seeds.mapNotNull { addressOrNull(it)?.host }
-
     private fun callerLimits(): CallerLimits = knownState.table?.limits ?: DEFAULT_LIMITS
 
     private fun forwarder(adapter: PlatformAdapter): Forwarder {
-        val instances = membership::assumedInstanceCount
+        val instances = limits::assumedInstances
         val bounds = settings.bounds
         val orders = adapter.endpointOrders(orderClient)
         val context = SenderContext(
@@ -196,8 +209,6 @@
 /** Returns an instance with [settings] on the platform behind [adapter]. */
 public fun gatewayOf(settings: GatewaySettings, adapter: PlatformAdapter): Gateway = Gateway(settings, adapter)
 
-internal fun monotonicMillis(): Long = System.nanoTime() / NANOS_PER_MILLI
-
 private fun addressOf(text: String): Address =
     requireNotNull(addressOrNull(text)) { "address $text: expected host:port with a port from 1 to 65535" }
 
@@ -220,4 +231,3 @@
 private const val STOP_MARGIN_MILLIS: Long = 600
 private const val CLOSE_TIMEOUT_MILLIS: Long = 500
 private const val MILLIS_PER_SECOND: Double = 1_000.0
-private const val NANOS_PER_MILLI: Long = 1_000_000
--- a/gateway/src/main/kotlin/pistachiopass/gateway/PlatformInterfaces.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/PlatformInterfaces.kt
@@ -13,12 +13,14 @@
 import pistachiopass.gateway.model.PublishedEndpoint
 import pistachiopass.gateway.model.RequestMetadata
 import pistachiopass.gateway.model.ResponseMetadata
-import pistachiopass.gateway.model.Revision
 import pistachiopass.gateway.model.RoutingTable
 import pistachiopass.gateway.model.TokenCounts
 import pistachiopass.model.DataCentreId
 import pistachiopass.model.EndpointId
 import pistachiopass.model.RequestId
+import pistachiopass.published.PublishedChanges
+import pistachiopass.published.PublishedItem
+import pistachiopass.published.Revision
 
 /** Translates between HTTP headers and the metadata classes of the gateway. */
 public interface WireFormat {
@@ -64,8 +66,11 @@
         StateItem
 }
 
-/** The items of the published state at [revision], all or only the changed ones; may include later changes. */
-public data class StateSnapshot(val revision: Revision, val items: List<StateItem>)
+/** Decodes published items. */
+public fun interface StateDecoder {
+    /** Returns what [item] says, or null if instances do not use items with its key. */
+    public fun decodeOrNull(item: PublishedItem): StateItem?
+}
 
 /** Why a read of the published state returned no state. */
 public enum class StateProblem {
@@ -82,10 +87,10 @@
 /** Reads the published state. */
 public interface StateSource {
     /** Returns all published items. */
-    public suspend fun readAll(): Result<StateSnapshot, StateProblem>
+    public suspend fun readAll(): Result<PublishedChanges, StateProblem>
 
     /** Returns the changes after [after], once there is one or [waitMillis] have passed. */
-    public suspend fun changesAfter(after: Revision, waitMillis: Long): Result<StateSnapshot, StateProblem>
+    public suspend fun changesAfter(after: Revision, waitMillis: Long): Result<PublishedChanges, StateProblem>
 
     /** Closes the idle connections, so that the next call opens a new one. */
     public fun reconnect()
--- a/gateway/src/main/kotlin/pistachiopass/gateway/WarmUp.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/WarmUp.kt
@@ -45,7 +45,6 @@
 import pistachiopass.gateway.model.EndpointIncarnation
 import pistachiopass.gateway.model.EngineSpeeds
 import pistachiopass.gateway.model.PublishedEndpoint
-import pistachiopass.gateway.model.Revision
 import pistachiopass.gateway.model.Route
 import pistachiopass.gateway.model.RoutingTable
 import pistachiopass.gateway.model.RunLimit
@@ -64,6 +63,7 @@
 import pistachiopass.model.RequestId
 import pistachiopass.model.RouteName
 import pistachiopass.model.TableVersion
+import pistachiopass.published.Revision
 import java.io.IOException
 
 /** Sends warm-up requests through its own forwarder, over two of the ports reserved for traffic between instances. */
@@ -122,8 +122,8 @@
             StateItem.Table(Revision(1), WARM_UP_TABLE, problem = null),
             StateItem.Endpoint(Revision(2), WARM_UP_ENDPOINT, publishedEndpoint(), problem = null),
         )
-        knownState.applyAll(StateSnapshot(Revision(2), items))
-        knownState.freshness.confirmedByStore(clock.nowMillis())
+        knownState.apply(items)
+        knownState.freshness.confirmed(clock.nowMillis())
     }
 
     private fun publishedEndpoint(): PublishedEndpoint = PublishedEndpoint(
--- a/gateway/src/main/kotlin/pistachiopass/gateway/forward/ForwardedRequest.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/forward/ForwardedRequest.kt
@@ -1,6 +1,7 @@
 /** The state of one request while it is forwarded: its remaining time, its attempts and whether it may have run. */
 package pistachiopass.gateway.forward
 
+import pistachiopass.gateway.NANOS_PER_MILLI
 import pistachiopass.gateway.http.CallerExchange
 import pistachiopass.gateway.model.EndpointIncarnation
 import pistachiopass.gateway.model.RequestMetadata
@@ -88,5 +89,3 @@
             Failure(FailureCode.CALLER_GONE, Verdict.NOT_RUN, "the caller disconnected or the instance stopped"),
         )
 }
-
-private const val NANOS_PER_MILLI: Long = 1_000_000
--- a/gateway/src/main/kotlin/pistachiopass/gateway/forward/ResponseHandler.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/forward/ResponseHandler.kt
@@ -5,6 +5,7 @@
 import io.netty.buffer.ByteBufUtil
 import io.netty.buffer.Unpooled
 import kotlinx.coroutines.withTimeoutOrNull
+import pistachiopass.gateway.NANOS_PER_MILLI
 import pistachiopass.gateway.http.UpstreamConnection
 import pistachiopass.gateway.model.EndpointIncarnation
 import pistachiopass.gateway.model.ResponseMetadata
@@ -153,4 +154,3 @@
 private const val INCOMPLETE_WEIGHT: Double = 0.7
 private const val ERROR_WEIGHT: Double = 0.4
 private const val REFUSED_WEIGHT: Double = 0.5
-private const val NANOS_PER_MILLI: Long = 1_000_000
--- a/gateway/src/main/kotlin/pistachiopass/gateway/forward/StreamRelay.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/forward/StreamRelay.kt
@@ -8,6 +8,7 @@
 
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
+import pistachiopass.gateway.NANOS_PER_MILLI
 import pistachiopass.gateway.http.CallerExchange
 import pistachiopass.gateway.http.ResponsePart
 import pistachiopass.gateway.http.UpstreamConnection
@@ -113,4 +114,3 @@
 
 /** Longest incomplete event that is buffered; otherwise an endpoint could fill the memory of the instance. */
 private const val EVENT_MAX_BYTES: Int = 256 * 1024
-private const val NANOS_PER_MILLI: Long = 1_000_000
--- a/gateway/src/main/kotlin/pistachiopass/gateway/http/CallerConnections.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/http/CallerConnections.kt
@@ -1,6 +1,7 @@
 /** Keeps the open connections of callers and closes those that time out. */
 package pistachiopass.gateway.http
 
+import pistachiopass.gateway.NANOS_PER_MILLI
 import pistachiopass.gateway.model.CallerLimits
 
 internal class CallerConnections {
@@ -42,4 +43,3 @@
 
 /** Network delay that is added to the header timeout, so that a caller may use all of it. */
 private const val READ_MARGIN_MILLIS: Long = 500
-private const val NANOS_PER_MILLI: Long = 1_000_000
--- a/gateway/src/main/kotlin/pistachiopass/gateway/model/Endpoints.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/model/Endpoints.kt
@@ -7,14 +7,6 @@
 /** One run of an endpoint's process: its id and the Unix time of its start; [bornMillis] is 0 if not stated. */
 public data class EndpointIncarnation(val endpoint: EndpointId, val bornMillis: Long)
 
-/** Position of a change in the store's history; later changes have higher ones. */
-@JvmInline
-public value class Revision(public val value: Long) : Comparable<Revision> {
-    override fun compareTo(other: Revision): Int = value.compareTo(other.value)
-
-    override fun toString(): String = value.toString()
-}
-
 /** A numeric IP address and a port. */
 public data class Address(val host: String, val port: Int) {
     override fun toString(): String = "$host:$port"
--- a/gateway/src/main/kotlin/pistachiopass/gateway/peers/PeerMessages.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/peers/PeerMessages.kt
@@ -8,31 +8,34 @@
 import kotlinx.serialization.cbor.Cbor
 import pistachiopass.gateway.model.EndpointIncarnation
 import pistachiopass.gateway.placement.WorkEstimate
+import pistachiopass.membership.MembershipMessage
 import pistachiopass.model.EndpointId
+import pistachiopass.published.FeedSubscription
+import pistachiopass.published.FeedUpdate
 
 /** A message between instances. */
 @Serializable
 internal sealed interface PeerMessage
 
-/** The instances that the sender has seen lately: for each host, the time since then in milliseconds. */
+/** A message about the members of the fleet. */
 @Serializable
-@SerialName("g")
-internal data class MembershipGossip(val heardAgeMillis: Map<String, Long>) : PeerMessage
+@SerialName("m")
+internal class MembershipDocument(@SerialName("m") val message: MembershipMessage) : PeerMessage
 
-/** Work that the sender has placed on endpoints. */
+/** Subscribes to the published state of the receiver. */
 @Serializable
-@SerialName("w")
-internal data class PlacedWorkUpdate(val works: List<EncodedEstimate>) : PeerMessage
+@SerialName("s")
+internal class SubscribeRequest(@SerialName("s") val subscription: FeedSubscription) : PeerMessage
 
-/** Asks how fresh the operator's documents are at the receiver; [nonce] ties the reply to the time of the query. */
+/** Answers a subscription to the published state of the sender. */
 @Serializable
-@SerialName("q")
-internal data class FreshnessQuery(val nonce: Long) : PeerMessage
+@SerialName("u")
+internal class SubscriptionUpdate(@SerialName("u") val update: FeedUpdate) : PeerMessage
 
-/** States that, [ageMillis] before this reply, the last change by an operator had [operatorRevision]. */
+/** Work that the sender has placed on endpoints. */
 @Serializable
-@SerialName("p")
-internal data class FreshnessReply(val nonce: Long, val operatorRevision: Long, val ageMillis: Long) : PeerMessage
+@SerialName("w")
+internal class PlacedWorkUpdate(@SerialName("w") val works: List<EncodedEstimate>) : PeerMessage
 
 /**
  * A [WorkEstimate] with one-letter keys, which keep the datagrams small. [readMillis] is the prefill time,
--- a/gateway/src/main/kotlin/pistachiopass/gateway/peers/Peers.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/peers/Peers.kt
@@ -1,21 +1,11 @@
 /**
- * Communication between instances by UDP datagrams: gossip about the members, updates of placed work, and queries for
- * the freshness of known state.
+ * Communication between instances: membership, the published state and updates of placed work.
  *
- * No correctness depends on the arrival of a datagram. A freshness reply counts from the time of its query, so a reply
- * that was delayed in the network or read late after a pause of the process never makes state look fresher than it is.
+ * No correctness depends on the arrival of a datagram.
  */
 package pistachiopass.gateway.peers
 
-import io.netty.bootstrap.Bootstrap
-import io.netty.buffer.ByteBufUtil
-import io.netty.buffer.Unpooled
-import io.netty.channel.Channel
-import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.EventLoop
-import io.netty.channel.SimpleChannelInboundHandler
-import io.netty.channel.socket.DatagramPacket
-import io.netty.channel.socket.nio.NioDatagramChannel
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
@@ -24,42 +14,59 @@
 import pistachiopass.entry.logging.field
 import pistachiopass.entry.logging.log
 import pistachiopass.entry.logging.tokenField
-import pistachiopass.gateway.http.awaitChannel
 import pistachiopass.gateway.model.Address
 import pistachiopass.gateway.placement.FleetLoad
 import pistachiopass.gateway.placement.WorkEstimate
 import pistachiopass.gateway.state.AgeClock
-import pistachiopass.gateway.state.KnownState
-import java.net.InetSocketAddress
-
-/** Exchanges messages with the other instances. Confined to the event loop. */
+import pistachiopass.gateway.state.PublishedState
+import pistachiopass.gateway.state.StateWatch
+import pistachiopass.membership.GossipMembership
+import pistachiopass.membership.MemberHost
+import pistachiopass.membership.MembershipDatagram
+import pistachiopass.published.FeedSubscription
+import pistachiopass.published.FeedUpdate
+
+/** The state of this instance that is exchanged with others. */
+internal class PeerContext(
+    val membership: GossipMembership,
+    val state: PublishedState,
+    val watch: StateWatch,
+    val states: PeerStateClient,
+    val load: FleetLoad,
+)
+
+/** Exchanges messages with the other instances, whose control port is that of [control]. Confined to the event loop. */
 internal class Peers(
-    private val own: Address,
-    private val membership: Membership,
-    private val knownState: KnownState,
-    private val load: FleetLoad,
-    private val clock: AgeClock,
+    private val control: Address,
+    peerPort: Int,
+    private val context: PeerContext,
+    clock: AgeClock,
     private val scope: CoroutineScope,
-) {
-    private var channel: Channel? = null
-    private var lastNonce = 0L
-    private val sentMillisByNonce = LinkedHashMap<Long, Long>()
+) : StateLinks {
+    private val membership = context.membership
+    private val channel = PeerChannel(Address(control.host, peerPort))
+    private val exchange = StateExchange(membership, context.state, context.watch, this, clock, scope)
     private val unsentEstimates = ArrayList<EncodedEstimate>()
-    private var loggedPeers: Set<String> = emptySet()
-    private var malformedCount = 0
+    private var loggedPeers: Set<MemberHost> = emptySet()
 
     /** Binds the UDP port and starts the periodic messages. */
     suspend fun start(eventLoop: EventLoop) {
-        channel = Bootstrap()
-            .group(eventLoop)
-            .channel(NioDatagramChannel::class.java)
-            .handler(Inbound())
-            .bind(own.host, own.port)
-            .awaitChannel()
-        scope.launch { gossip() }
-        scope.launch { queryFreshness() }
+        channel.open(eventLoop, ::receive)
+        scope.launch {
+            while (true) {
+                repeat(TICKS_PER_LOG) {
+                    send(membership.tick())
+                    exchange.tick()
+                    delay(TICK_MILLIS)
+                }
+                logChanges()
+            }
+        }
     }
 
+    /** Tells others that this instance stops. */
+    fun leave(): Unit = send(membership.leave())
+
     /** Queues updates of placed work for the other instances; they are sent in batches a few milliseconds later. */
     fun placed(estimates: List<WorkEstimate>) {
         val isFirst = unsentEstimates.isEmpty()
@@ -67,99 +74,49 @@
         if (isFirst) scope.launch { sendUpdates() }
     }
 
-    private suspend fun gossip() {
-        while (true) {
-            val members = membership.live().entries.shuffled().take(GOSSIP_MEMBERS_MAX)
-            send(membership.gossipTargets(), MembershipGossip(members.associate { it.toPair() }))
-            logChanges()
-            delay(GOSSIP_INTERVAL_MILLIS)
-        }
-    }
+    override fun subscribe(source: MemberHost, subscription: FeedSubscription): Unit =
+        channel.send(source, SubscribeRequest(subscription))
+
+    override fun update(reader: MemberHost, update: FeedUpdate): Unit = channel.send(reader, SubscriptionUpdate(update))
+
+    override suspend fun fetchOrNull(source: MemberHost): PeerState? =
+        context.states.fetchOrNull(Address(source.value, control.port), context.state.position)
 
     private suspend fun sendUpdates() {
         delay(UPDATE_DELAY_MILLIS)
-        val hosts = membership.live().keys
-        updatesOf(unsentEstimates).forEach { send(hosts, it) }
+        val hosts = membership.live.map { it.host }
+        updatesOf(unsentEstimates).forEach { channel.send(hosts, it) }
         unsentEstimates.clear()
     }
 
-    /** Asks other instances for confirmation while the store does not confirm the known state. */
-    private suspend fun queryFreshness() {
-        while (true) {
-            delay(FRESHNESS_CHECK_MILLIS)
-            if (knownState.table == null || knownState.freshness.isWithin(FRESHNESS_QUERY_AGE_MILLIS)) continue
-            sentMillisByNonce[++lastNonce] = clock.nowMillis()
-            while (sentMillisByNonce.size > OPEN_QUERIES_MAX) sentMillisByNonce.remove(sentMillisByNonce.keys.first())
-            send(membership.live().keys.shuffled().take(FRESHNESS_QUERY_PEERS).toSet(), FreshnessQuery(lastNonce))
-        }
-    }
-
     private fun logChanges() {
-        val live = membership.live().keys
+        val live = membership.live.mapTo(HashSet()) { it.host }
         (live - loggedPeers).forEach {
-            EventLog.log(Event.PEER_CONNECTED, tokenField("peer", it), field("live", live.size))
+            EventLog.log(Event.PEER_CONNECTED, tokenField("peer", it.value), field("live", live.size))
         }
-        (loggedPeers - live).forEach { EventLog.log(Event.PEER_LOST, tokenField("peer", it), field("live", live.size)) }
-        loggedPeers = live
-        if (malformedCount > 0) {
-            EventLog.log(Event.PEER_REFUSED, tokenField("reason", "malformed"), field("count", malformedCount))
-        }
-        malformedCount = 0
-    }
-
-    private fun send(hosts: Set<String>, message: PeerMessage) {
-        val target = channel ?: return
-        val bytes = encode(message)
-        hosts.forEach { host ->
-            target.writeAndFlush(DatagramPacket(Unpooled.wrappedBuffer(bytes), InetSocketAddress(host, own.port)))
+        (loggedPeers - live).forEach {
+            EventLog.log(Event.PEER_LOST, tokenField("peer", it.value), field("live", live.size))
         }
+        loggedPeers = live
+        channel.logMalformed()
     }
 
-    private fun receive(sender: String, message: PeerMessage) {
-        membership.recordSeen(sender, ageMillis = 0)
+    private fun receive(sender: MemberHost, message: PeerMessage) {
         when (message) {
-            is MembershipGossip ->
-                message.heardAgeMillis.forEach { (host, ageMillis) -> membership.recordSeen(host, ageMillis) }
-            is PlacedWorkUpdate -> message.works.forEach { load.add(it.toEstimate(), isOwn = false) }
-            is FreshnessQuery -> onFreshnessQuery(sender, message)
-            is FreshnessReply -> onFreshnessReply(message)
-        }
-    }
-
-    private fun onFreshnessQuery(sender: String, query: FreshnessQuery) {
-        val ageMillis = knownState.freshness.storeAgeMillisOrNull() ?: return
-        send(setOf(sender), FreshnessReply(query.nonce, knownState.operatorRevision.value, ageMillis))
-    }
-
-    private fun onFreshnessReply(reply: FreshnessReply) {
-        val requestedAtMillis = sentMillisByNonce[reply.nonce] ?: return
-        if (reply.operatorRevision == knownState.operatorRevision.value) {
-            knownState.freshness.confirmedByPeer(requestedAtMillis - reply.ageMillis)
+            is MembershipDocument -> send(membership.receive(sender, message.message))
+            is SubscribeRequest -> exchange.onSubscribe(sender, message.subscription)
+            is SubscriptionUpdate -> exchange.onUpdate(sender, message.update)
+            is PlacedWorkUpdate -> message.works.forEach { context.load.add(it.toEstimate(), isOwn = false) }
         }
     }
 
-    private inner class Inbound : SimpleChannelInboundHandler<DatagramPacket>() {
-        override fun channelRead0(context: ChannelHandlerContext, packet: DatagramPacket) {
-            val sender = packet.sender().address.hostAddress
-            val message = decodeOrNull(ByteBufUtil.getBytes(packet.content()))
-            if (message == null) malformedCount++ else receive(sender, message)
-        }
-
-        @Deprecated("inherited")
-        override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
-            EventLog.log(Event.PEER_UNREACHABLE, field("error", cause))
-        }
-    }
+    private fun send(datagrams: List<MembershipDatagram>): Unit =
+        datagrams.forEach { channel.send(it.to, MembershipDocument(it.message)) }
 }
 
-private const val GOSSIP_INTERVAL_MILLIS: Long = 500
-private const val GOSSIP_MEMBERS_MAX: Int = 24
+/** Several ticks in each period of the membership protocol and of the subscriptions. */
+private const val TICK_MILLIS: Long = 200
+private const val TICKS_PER_LOG: Int = 5
 
 /** Time for which updates of placed work are batched; shorter than the time that a request takes to start. */
 private const val UPDATE_DELAY_MILLIS: Long = 10
-private const val FRESHNESS_CHECK_MILLIS: Long = 300
-
-/** Age of the known state above which other instances are queried; exceeds its age after a watch without a change. */
-private const val FRESHNESS_QUERY_AGE_MILLIS: Long = 1_500
-private const val FRESHNESS_QUERY_PEERS: Int = 3
-private const val OPEN_QUERIES_MAX: Int = 32
--- /dev/null
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/peers/StateExchange.kt
@@ -0,0 +1,142 @@
+/**
+ * Exchanges the published state with other instances: subscribes to some of them, serves those that subscribe here, and
+ * starts the own watch of the store when it is needed.
+ */
+package pistachiopass.gateway.peers
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.launch
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import pistachiopass.entry.logging.Event
+import pistachiopass.entry.logging.EventLog
+import pistachiopass.entry.logging.field
+import pistachiopass.entry.logging.log
+import pistachiopass.entry.logging.tokenField
+import pistachiopass.gateway.monotonicMillis
+import pistachiopass.gateway.state.AgeClock
+import pistachiopass.gateway.state.PublishedState
+import pistachiopass.gateway.state.StateWatch
+import pistachiopass.membership.GossipMembership
+import pistachiopass.membership.MemberHost
+import pistachiopass.published.FeedSubscription
+import pistachiopass.published.FeedSubscriptions
+import pistachiopass.published.FeedUpdate
+import pistachiopass.published.PublishedChanges
+import pistachiopass.published.StateFeed
+import pistachiopass.published.WatchDuty
+import pistachiopass.published.WatchPeers
+import pistachiopass.published.WatchPlan
+
+/** Sends the messages of a [StateExchange]. */
+internal interface StateLinks {
+    fun subscribe(source: MemberHost, subscription: FeedSubscription)
+
+    fun update(reader: MemberHost, update: FeedUpdate)
+
+    /** Returns what [source] has beyond the position of this instance, or null if it did not respond in time. */
+    suspend fun fetchOrNull(source: MemberHost): PeerState?
+}
+
+/** The published state [changes] of another instance, which was current [ageMillis] before its response. */
+@Serializable
+internal class PeerState(
+    @SerialName("c") val changes: PublishedChanges,
+    @SerialName("a") val ageMillis: Long,
+)
+
+/** Keeps [state] current with the help of the instances in [membership]. Confined to the event loop. */
+internal class StateExchange(
+    private val membership: GossipMembership,
+    private val state: PublishedState,
+    private val watch: StateWatch,
+    private val links: StateLinks,
+    private val clock: AgeClock,
+    private val scope: CoroutineScope,
+) {
+    private val freshness = state.knownState.freshness
+    private val duty =
+        WatchDuty(membership.self.host, membership.self.dataCentre.value, clock::nowMillis)
+    private val feed = StateFeed<MemberHost>(state.log, freshness::ageMillisOrNull, ::monotonicMillis)
+    private val subscriptions = FeedSubscriptions<MemberHost>(clock::nowMillis)
+    private var plan = WatchPlan<MemberHost>(watchesStore = false, isOnDuty = false, emptyList())
+    private var fedMillis = Long.MIN_VALUE
+    private var isFetching = false
+
+    init {
+        watch.onConfirmed = ::updateReaders
+    }
+
+    /** Renews the subscriptions, and starts or stops the own watch; to be called several times a second. */
+    fun tick() {
+        val (local, others) = membership.live.partition { it.dataCentre == membership.self.dataCentre }
+        val peers = WatchPeers(local.map { it.host }, others.map { it.host })
+        val isFed = clock.nowMillis() - fedMillis <= FED_MILLIS
+        val next = duty.plan(peers, freshness.ageMillisOrNull(), isFed, subscriptions::isSilent)
+        if (next.watchesStore != plan.watchesStore) {
+            EventLog.log(
+                Event.STORE_WATCH_CHANGED,
+                field("watches", next.watchesStore),
+                field("proofAgeMillis", freshness.ageMillisOrNull() ?: -1),
+                field("sources", next.sources.size),
+                field("readers", feed.readers),
+            )
+        }
+        plan = next
+        watch.want(next.watchesStore, next.isOnDuty)
+        subscriptions.subscribe(next.sources, state.position).forEach { (source, subscription) ->
+            links.subscribe(source, subscription)
+        }
+    }
+
+    fun onSubscribe(reader: MemberHost, subscription: FeedSubscription) {
+        feed.subscribe(reader, subscription)?.let { links.update(reader, it) }
+    }
+
+    fun onUpdate(source: MemberHost, update: FeedUpdate) {
+        val confirmedMillis = subscriptions.confirmedMillisOrNull(source, update) ?: return
+        val position = state.position
+        if (position != null && position >= update.base) {
+            apply(PublishedChanges(update.position, isFull = false, update.items), confirmedMillis)
+        } else {
+            fetch(source)
+        }
+    }
+
+    private fun fetch(source: MemberHost) {
+        if (isFetching) return
+        isFetching = true
+        val requestedAtMillis = clock.nowMillis()
+        scope.launch {
+            try {
+                val peerState = links.fetchOrNull(source)
+                when {
+                    peerState == null -> EventLog.log(Event.STATE_NOT_FETCHED, tokenField("peer", source.value))
+                    isUsable(peerState) -> apply(peerState.changes, requestedAtMillis - peerState.ageMillis)
+                }
+            } finally {
+                isFetching = false
+            }
+        }
+    }
+
+    /** An instance without state takes an old one only if the store does not give it a current one. */
+    private fun isUsable(peerState: PeerState): Boolean =
+        state.position != null || peerState.ageMillis <= FIRST_STATE_AGE_MAX_MILLIS || watch.isFailing
+
+    private fun apply(changes: PublishedChanges, confirmedMillis: Long) {
+        fedMillis = maxOf(fedMillis, confirmedMillis)
+        val isConfirmed = freshness.confirmed(confirmedMillis)
+        val before = state.position
+        state.apply(changes)
+        if (isConfirmed || state.position != before) updateReaders()
+    }
+
+    private fun updateReaders(): Unit = feed.updates().forEach { (reader, update) -> links.update(reader, update) }
+}
+
+/** Age up to which the state of other instances alone is fresh; above two long polls of a watcher. */
+private const val FED_MILLIS: Long = 1_500
+
+/** Age up to which an instance without state takes that of another; the state is good for API keys for longer. */
+private const val FIRST_STATE_AGE_MAX_MILLIS: Long = 2_000
--- a/gateway/src/main/kotlin/pistachiopass/gateway/state/AgeClock.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/state/AgeClock.kt
@@ -7,6 +7,8 @@
  */
 package pistachiopass.gateway.state
 
+import pistachiopass.gateway.NANOS_PER_MILLI
+
 /** Returns the time in milliseconds since an arbitrary start; for ages of state, not for durations of requests. */
 public fun interface AgeClock {
     public fun nowMillis(): Long
@@ -34,4 +36,3 @@
 
 /** Difference of the two clocks above which the machine counts as suspended; exceeds the jitter of a clock read. */
 private const val SUSPENSION_NANOS: Long = 50_000_000
-private const val NANOS_PER_MILLI: Long = 1_000_000
--- a/gateway/src/main/kotlin/pistachiopass/gateway/state/StateWatch.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/state/StateWatch.kt
@@ -1,7 +1,9 @@
-/** Keeps the known state current: reads all published state once, then watches for changes from that revision. */
+/** Watches the store: reads all published state once if there is none, then waits for changes from its position. */
 package pistachiopass.gateway.state
 
+import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.mapBoth
+import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.delay
 import pistachiopass.entry.logging.Event
 import pistachiopass.entry.logging.EventLog
@@ -9,88 +11,107 @@
 import pistachiopass.entry.logging.log
 import pistachiopass.gateway.StateProblem
 import pistachiopass.gateway.StateSource
-import pistachiopass.gateway.model.Revision
+import pistachiopass.published.PublishedChanges
 
-/** Applies what [source] publishes to [knownState] while [run] is active. */
+/** Applies what [source] publishes to [state] while [run] is active and the watch is wanted. */
 internal class StateWatch(
     private val source: StateSource,
-    private val knownState: KnownState,
+    private val state: PublishedState,
     private val clock: AgeClock,
     private val log: EventLog = EventLog,
 ) {
+    private var wanted: CompletableDeferred<Unit> = CompletableDeferred()
+    private var isOnDuty = false
+    private var needsAll = false
     private var failures = 0
 
+    /** Whether the last call to the store failed. */
+    val isFailing: Boolean get() = failures > 0
+
+    /** Called each time the store has confirmed the state. */
+    var onConfirmed: () -> Unit = {}
+
+    /** Starts or stops the watch; one that [isOnDuty] for others tries a store that does not answer more often. */
+    fun want(isWanted: Boolean, isOnDuty: Boolean) {
+        this.isOnDuty = isOnDuty
+        if (isWanted) wanted.complete(Unit) else if (wanted.isCompleted) wanted = CompletableDeferred()
+    }
+
     suspend fun run() {
-        var position: Revision? = null
         while (true) {
-            position = if (position == null) readAll() else watch(position)
-            if (failures > 0) delay(minOf(RETRY_MIN_MILLIS shl minOf(failures, RETRY_SHIFT_MAX), RETRY_MAX_MILLIS))
+            wanted.await()
+            val pauseMillis = call()
+            if (pauseMillis > 0) delay(pauseMillis)
         }
     }
 
-    private suspend fun readAll(): Revision? {
-        val requestedAtMillis = clock.nowMillis()
-        return source.readAll().mapBoth(
-            success = {
-                knownState.applyAll(it)
-                succeeded(requestedAtMillis)
-                it.revision
-            },
-            failure = {
-                failed(it)
-                null
-            },
-        )
-    }
-
-    private suspend fun watch(after: Revision): Revision? {
+    /** Calls the store once; returns the time until the next call. */
+    private suspend fun call(): Long {
         val requestedAtMillis = clock.nowMillis()
+        val position = state.position?.takeUnless { needsAll }
         val waitMillis = if (failures > 0) WATCH_AFTER_FAILURE_MILLIS else WATCH_MILLIS
-        return source.changesAfter(after, waitMillis).mapBoth(
+        val result: Result<PublishedChanges, StateProblem> =
+            if (position == null) source.readAll() else source.changesAfter(position, waitMillis)
+        return result.mapBoth(
             success = {
-                knownState.applyChanges(it)
-                succeeded(requestedAtMillis)
-                maxOf(after, it.revision)
+                succeeded(it, requestedAtMillis)
+                if (it.items.isEmpty()) 0 else GATHER_MILLIS
             },
             failure = {
                 failed(it)
-                if (it == StateProblem.HISTORY_GONE) null else after
+                backoffMillis()
             },
         )
     }
 
     /**
      * Confirms the state only as of the time of the request: a watch connection may stop delivering changes long before
-     * it breaks.
+     * it breaks. The end of an outage is noted before the changes are applied, since it decides how removals are taken.
      */
-    private fun succeeded(requestedAtMillis: Long) {
+    private fun succeeded(changes: PublishedChanges, requestedAtMillis: Long) {
         if (failures > 0) log.log(Event.PLATFORM_BACK, field("failures", failures))
         failures = 0
-        knownState.freshness.confirmedByStore(requestedAtMillis)
+        needsAll = false
+        state.knownState.freshness.confirmed(requestedAtMillis)
+        state.apply(changes)
+        onConfirmed()
     }
 
     private fun failed(problem: StateProblem) {
+        needsAll = needsAll || problem == StateProblem.HISTORY_GONE
         if (failures == 0 || problem == StateProblem.HISTORY_GONE) {
             log.log(
                 Event.PLATFORM_UNREACHABLE,
                 field("problem", problem),
-                field("proofAgeMillis", knownState.freshness.ageMillisOrNull() ?: -1),
+                field("proofAgeMillis", state.knownState.freshness.ageMillisOrNull() ?: -1),
             )
         }
         if (problem == StateProblem.HISTORY_GONE) return
         failures++
         source.reconnect()
     }
+
+    private fun backoffMillis(): Long {
+        if (failures == 0) return 0
+        val maxMillis = if (isOnDuty) RETRY_MAX_MILLIS else RETRY_MAX_OFF_DUTY_MILLIS
+        return minOf(RETRY_MIN_MILLIS shl minOf(failures, RETRY_SHIFT_MAX), maxMillis)
+    }
 }
 
 /**
- * Time for which a watch waits for a change. The age of the known state stays below this plus the duration of one call,
- * well under the limit within which removed keys must be refused.
+ * Time for which a watch waits for a change. The state gets twice as old before a call without changes confirms it,
+ * which stays under the age at which other instances watch the store themselves.
  */
-private const val WATCH_MILLIS: Long = 1_000
+private const val WATCH_MILLIS: Long = 600
+
+/** Pause after a change, so that several changes in a row take one call. */
+private const val GATHER_MILLIS: Long = 300
 
 /** After a failure the store is asked not to wait, so that a request lost in an outage times out soon. */
 private const val WATCH_AFTER_FAILURE_MILLIS: Long = 1
 private const val RETRY_MIN_MILLIS: Long = 50
 private const val RETRY_MAX_MILLIS: Long = 400
-private const val RETRY_SHIFT_MAX: Int = 3
+
+/** The same for instances that are not expected to watch: during an outage the store gets few calls of many of them. */
+private const val RETRY_MAX_OFF_DUTY_MILLIS: Long = 1_000
+private const val RETRY_SHIFT_MAX: Int = 5
--- a/gateway/src/test/kotlin/pistachiopass/gateway/TestHelpers.kt
+++ b/gateway/src/test/kotlin/pistachiopass/gateway/TestHelpers.kt
@@ -7,7 +7,6 @@
 import pistachiopass.gateway.model.EndpointIncarnation
 import pistachiopass.gateway.model.EngineSpeeds
 import pistachiopass.gateway.model.PublishedEndpoint
-import pistachiopass.gateway.model.Revision
 import pistachiopass.gateway.model.Route
 import pistachiopass.gateway.model.RoutingTable
 import pistachiopass.gateway.model.RunLimit
@@ -19,6 +18,7 @@
 import pistachiopass.model.RouteName
 import pistachiopass.model.TableVersion
 import pistachiopass.model.WorkspaceId
+import pistachiopass.published.Revision
 
 /** Returns one test for each of [cases]. */
 internal fun <T> casesOf(cases: List<T>, check: (T) -> Unit): List<DynamicTest> =
--- a/gateway/src/test/kotlin/pistachiopass/gateway/forward/AdmissionTest.kt
+++ b/gateway/src/test/kotlin/pistachiopass/gateway/forward/AdmissionTest.kt
@@ -4,10 +4,8 @@
 import com.github.michaelbull.result.mapBoth
 import org.junit.jupiter.api.DynamicTest
 import org.junit.jupiter.api.TestFactory
-import pistachiopass.gateway.StateSnapshot
 import pistachiopass.gateway.casesOf
 import pistachiopass.gateway.model.RequestMetadata
-import pistachiopass.gateway.model.Revision
 import pistachiopass.gateway.model.RoutingTable
 import pistachiopass.gateway.routeOf
 import pistachiopass.gateway.state.KnownState
@@ -72,15 +70,15 @@
         val admission = admissionOf(knownState, revokeMillis = 5_000, GracefulShutdown { 0 })
         val metadata = RequestMetadata(RequestId("r"), 1_000, "k1", tokenCounts = null, lastEventId = null)
         val admitted = admission.admit(metadata, "host.example", "/a/1").mapBoth({ it }, { null })
-        knownState.applyChanges(StateSnapshot(Revision(9), listOf(tableItem(9, tableOf(4, TABLE.routes, keys)))))
+        knownState.apply(listOf(tableItem(9, tableOf(4, TABLE.routes, keys))))
         assertEquals(status, admission.refusalOrNull(assertNotNull(admitted), "k1")?.status)
     }
 
     private fun knownStateWith(table: RoutingTable?, stateAgeMillis: Long): KnownState {
         var nowMillis = 0L
         val knownState = knownStateOf({ nowMillis })
-        if (table != null) knownState.applyAll(StateSnapshot(Revision(2), listOf(tableItem(2, table))))
-        knownState.freshness.confirmedByStore(0)
+        if (table != null) knownState.apply(listOf(tableItem(2, table)))
+        knownState.freshness.confirmed(0)
         nowMillis = stateAgeMillis
         return knownState
     }
--- a/gateway/src/test/kotlin/pistachiopass/gateway/forward/BudgetsTest.kt
+++ b/gateway/src/test/kotlin/pistachiopass/gateway/forward/BudgetsTest.kt
@@ -4,11 +4,9 @@
 import org.junit.jupiter.api.DynamicTest
 import org.junit.jupiter.api.TestFactory
 import pistachiopass.gateway.ASSISTANT
-import pistachiopass.gateway.StateSnapshot
 import pistachiopass.gateway.casesOf
 import pistachiopass.gateway.endpointItem
 import pistachiopass.gateway.endpointOf
-import pistachiopass.gateway.model.Revision
 import pistachiopass.gateway.settings.BoundSettings
 import pistachiopass.gateway.state.knownStateOf
 import kotlin.test.assertEquals
@@ -52,7 +50,7 @@
         var nowMillis = 0L
         val knownState = knownStateOf({ nowMillis })
         val item = endpointItem(2, "e1", endpointOf("e1", coldMillis = 3_000))
-        knownState.applyChanges(StateSnapshot(Revision(2), listOf(item)))
+        knownState.apply(listOf(item))
         val endpoint = knownState.endpoints.of(ASSISTANT).single()
         val budget = ColdBudget(BoundSettings(coldFactor = 1.5, coldSlack = 5.0), { case.assumed }, { nowMillis })
         var sent = 0
--- a/gateway/src/test/kotlin/pistachiopass/gateway/forward/ReservationsTest.kt
+++ b/gateway/src/test/kotlin/pistachiopass/gateway/forward/ReservationsTest.kt
@@ -20,12 +20,10 @@
 import pistachiopass.gateway.ASSISTANT
 import pistachiopass.gateway.EndpointOrders
 import pistachiopass.gateway.OrderOutcome
-import pistachiopass.gateway.StateSnapshot
 import pistachiopass.gateway.casesOf
 import pistachiopass.gateway.endpointItem
 import pistachiopass.gateway.endpointOf
 import pistachiopass.gateway.model.Address
-import pistachiopass.gateway.model.Revision
 import pistachiopass.gateway.placement.Assignment
 import pistachiopass.gateway.state.knownStateOf
 import pistachiopass.model.RequestId
@@ -133,7 +131,7 @@
 
     private fun assignment(): Assignment {
         val knownState = knownStateOf({ 0L }, EventLog { _, _, _ -> })
-        knownState.applyChanges(StateSnapshot(Revision(2), listOf(endpointItem(2, "e1", endpointOf("e1")))))
+        knownState.apply(listOf(endpointItem(2, "e1", endpointOf("e1"))))
         val endpoint = knownState.endpoints.of(ASSISTANT).single()
         return Assignment(endpoint, emptyList(), forecastMillis = 0.0, emptyList(), reservedTokens = 1_000)
     }
--- a/gateway/src/test/kotlin/pistachiopass/gateway/placement/PlacementLoadTest.kt
+++ b/gateway/src/test/kotlin/pistachiopass/gateway/placement/PlacementLoadTest.kt
@@ -12,12 +12,10 @@
 import pistachiopass.entry.logging.EventLog
 import pistachiopass.gateway.ASSISTANT
 import pistachiopass.gateway.SPEEDS
-import pistachiopass.gateway.StateSnapshot
 import pistachiopass.gateway.casesOf
 import pistachiopass.gateway.endpointItem
 import pistachiopass.gateway.endpointOf
 import pistachiopass.gateway.model.EndpointIncarnation
-import pistachiopass.gateway.model.Revision
 import pistachiopass.gateway.model.TokenCounts
 import pistachiopass.gateway.routeOf
 import pistachiopass.gateway.serviceOf
@@ -145,7 +143,7 @@
     private fun endpointsOf(count: Int): List<KnownEndpoint> {
         val knownState = knownStateOf({ 0L }, DISCARDING_LOG)
         val items = (1..count).map { endpointItem(it.toLong(), "e$it", endpointOf("e$it")) }
-        knownState.applyChanges(StateSnapshot(Revision(count.toLong()), items))
+        knownState.apply(items)
         return knownState.endpoints.of(ASSISTANT)
     }
 }
--- a/gateway/src/test/kotlin/pistachiopass/gateway/state/KnownStateTest.kt
+++ b/gateway/src/test/kotlin/pistachiopass/gateway/state/KnownStateTest.kt
@@ -5,15 +5,17 @@
 import org.junit.jupiter.api.TestFactory
 import pistachiopass.gateway.ASSISTANT
 import pistachiopass.gateway.StateItem
-import pistachiopass.gateway.StateSnapshot
 import pistachiopass.gateway.casesOf
 import pistachiopass.gateway.endpointItem
 import pistachiopass.gateway.endpointOf
-import pistachiopass.gateway.model.Revision
 import pistachiopass.gateway.routeOf
 import pistachiopass.gateway.tableItem
 import pistachiopass.gateway.tableOf
 import pistachiopass.model.DataCentreId
+import pistachiopass.model.EndpointId
+import pistachiopass.published.PublishedChanges
+import pistachiopass.published.PublishedItem
+import pistachiopass.published.Revision
 import kotlin.test.assertEquals
 
 private class Case(
@@ -28,12 +30,33 @@
 private class Scenario {
     var nowMillis = 0L
     val knownState = knownStateOf({ nowMillis })
+    private val decoded = HashMap<Pair<String, Revision>, StateItem>()
+    private val state = PublishedState(knownState) { decoded[it.key to it.revision] ?: removalOf(it) }
+
+    init {
+        all(1)
+    }
 
     fun changes(vararg items: StateItem) =
-        knownState.applyChanges(StateSnapshot(items.maxOf { it.revision }, items.asList()))
+        state.apply(PublishedChanges(items.maxOf { it.revision }, isFull = false, items.map(::publish)))
 
     fun all(revision: Long, vararg items: StateItem) =
-        knownState.applyAll(StateSnapshot(Revision(revision), items.asList()))
+        state.apply(PublishedChanges(Revision(revision), isFull = true, items.map(::publish)))
+
+    private fun publish(item: StateItem): PublishedItem {
+        val (key, isRemoved) = when (item) {
+            is StateItem.Table -> "table" to false
+            is StateItem.Endpoint -> "endpoint/${item.id}" to (item.endpoint == null && item.problem == null)
+            is StateItem.Evacuation -> "evacuation/${item.dataCentre}" to !item.isOut
+        }
+        decoded[key to item.revision] = item
+        return PublishedItem(key, item.revision, if (isRemoved) null else ByteArray(0))
+    }
+
+    private fun removalOf(item: PublishedItem): StateItem? =
+        item.takeIf { it.isRemoved && it.key.startsWith("endpoint/") }?.let {
+            StateItem.Endpoint(it.revision, EndpointId(it.key.removePrefix("endpoint/")), null, problem = null)
+        }
 
     fun evacuation(revision: Long, isOut: Boolean) =
         changes(StateItem.Evacuation(Revision(revision), DataCentreId("a"), isOut))
@@ -98,10 +121,10 @@
             knownState.endpoints.expireMissing()
         },
         Case("an endpoint that is removed without a store outage is gone at once", "v- []") {
-            knownState.freshness.confirmedByStore(0)
+            knownState.freshness.confirmed(0)
             changes(endpointItem(2, "e1", endpointOf("e1")))
             nowMillis += 1_000
-            knownState.freshness.confirmedByStore(1_000)
+            knownState.freshness.confirmed(1_000)
             changes(endpointItem(3, "e1", null))
         },
     )
@@ -114,10 +137,10 @@
     }
 
     private fun Scenario.storeReturns() {
-        knownState.freshness.confirmedByStore(0)
+        knownState.freshness.confirmed(0)
         changes(endpointItem(2, "e1", endpointOf("e1")))
         nowMillis += 6_000
-        knownState.freshness.confirmedByStore(6_000)
+        knownState.freshness.confirmed(6_000)
         changes(endpointItem(3, "e1", null))
     }
 
--- a/gateway/src/test/kotlin/pistachiopass/gateway/state/StateWatchTest.kt
+++ b/gateway/src/test/kotlin/pistachiopass/gateway/state/StateWatchTest.kt
@@ -12,29 +12,35 @@
 import org.junit.jupiter.api.DynamicTest
 import org.junit.jupiter.api.TestFactory
 import pistachiopass.entry.logging.EventLog
+import pistachiopass.gateway.ASSISTANT
 import pistachiopass.gateway.StateProblem
-import pistachiopass.gateway.StateSnapshot
 import pistachiopass.gateway.StateSource
 import pistachiopass.gateway.casesOf
-import pistachiopass.gateway.model.Revision
+import pistachiopass.gateway.endpointItem
+import pistachiopass.gateway.endpointOf
+import pistachiopass.published.PublishedChanges
+import pistachiopass.published.PublishedItem
+import pistachiopass.published.Revision
+import kotlin.test.assertEquals
 import kotlin.test.assertTrue
 
 private data class Outage(val fromMillis: Long, val toMillis: Long)
 
 /** A store that loses every request during an outage; the client times out 700 ms after the requested wait. */
 private class LossyStore(private val outage: Outage, private val nowMillis: () -> Long) : StateSource {
-    override suspend fun readAll(): Result<StateSnapshot, StateProblem> = answer(waitMillis = 0)
+    override suspend fun readAll(): Result<PublishedChanges, StateProblem> = answer(waitMillis = 0)
 
-    override suspend fun changesAfter(after: Revision, waitMillis: Long): Result<StateSnapshot, StateProblem> =
+    override suspend fun changesAfter(after: Revision, waitMillis: Long): Result<PublishedChanges, StateProblem> =
         answer(waitMillis)
 
     override fun reconnect(): Unit = Unit
 
-    private suspend fun answer(waitMillis: Long): Result<StateSnapshot, StateProblem> {
+    private suspend fun answer(waitMillis: Long): Result<PublishedChanges, StateProblem> {
         val end = nowMillis() + waitMillis
         val isLost = nowMillis() < outage.toMillis && end >= outage.fromMillis
         delay(if (isLost) waitMillis + 700 else waitMillis + 4)
-        return if (isLost) Err(StateProblem.UNAVAILABLE) else Ok(StateSnapshot(Revision(5), emptyList()))
+        val changes = PublishedChanges(Revision(5), isFull = true, emptyList())
+        return if (isLost) Err(StateProblem.UNAVAILABLE) else Ok(changes)
     }
 }
 
@@ -48,7 +54,10 @@
             val silent = EventLog { _, _, _ -> }
             val clock = AgeClock { currentTime }
             val knownState = knownStateOf(clock, silent)
-            val watch = launch { StateWatch(LossyStore(outage) { currentTime }, knownState, clock, silent).run() }
+            val state = PublishedState(knownState) { null }
+            val stateWatch = StateWatch(LossyStore(outage) { currentTime }, state, clock, silent)
+            stateWatch.want(isWanted = true, isOnDuty = true)
+            val watch = launch { stateWatch.run() }
             while (currentTime < outage.toMillis) delay(10)
             while (!knownState.freshness.isWithin(currentTime - outage.toMillis)) delay(10)
             watch.cancel()
@@ -56,4 +65,46 @@
             assertTrue(afterMillis <= 1_200, "confirmed $afterMillis ms after the end of the outage")
         }
     }
+
+    @TestFactory
+    fun `an entry that lapsed while the store was away stays in use when the store returns`(): List<DynamicTest> =
+        casesOf(listOf(3_300L to listOf("e1"), 1_000L to emptyList())) { (outageMillis, usable) ->
+            runTest {
+                val silent = EventLog { _, _, _ -> }
+                val clock = AgeClock { currentTime }
+                val knownState = knownStateOf(clock, silent)
+                val state = PublishedState(knownState) { item ->
+                    endpointItem(item.revision.value, item.key, if (item.isRemoved) null else endpointOf(item.key))
+                }
+                val stateWatch = StateWatch(LapsingStore(outageMillis) { currentTime }, state, clock, silent)
+                stateWatch.want(isWanted = true, isOnDuty = true)
+                val watch = launch { stateWatch.run() }
+                delay(LAPSE_MILLIS + outageMillis + 1_000)
+                watch.cancel()
+                assertEquals(usable, knownState.endpoints.of(ASSISTANT).map { it.id.value })
+            }
+        }
+}
+
+/** Publishes an endpoint; its entry is removed at [LAPSE_MILLIS], when an outage of [outageMillis] begins. */
+private class LapsingStore(private val outageMillis: Long, private val nowMillis: () -> Long) : StateSource {
+    private val listed = PublishedItem("e1", Revision(2), ByteArray(0))
+    private val removed = PublishedItem("e1", Revision(3), value = null)
+
+    override suspend fun readAll(): Result<PublishedChanges, StateProblem> =
+        Ok(PublishedChanges(Revision(2), isFull = true, listOf(listed)))
+
+    override suspend fun changesAfter(after: Revision, waitMillis: Long): Result<PublishedChanges, StateProblem> {
+        delay(maxOf(waitMillis, 1))
+        val isLapsed = nowMillis() >= LAPSE_MILLIS
+        return when {
+            isLapsed && nowMillis() < LAPSE_MILLIS + outageMillis -> Err(StateProblem.UNAVAILABLE)
+            isLapsed && after < removed.revision -> Ok(PublishedChanges(Revision(3), isFull = false, listOf(removed)))
+            else -> Ok(PublishedChanges(after, isFull = false, emptyList()))
+        }
+    }
+
+    override fun reconnect(): Unit = Unit
 }
+
+private const val LAPSE_MILLIS = 5_000L
