Keep a restarted instance unready until it has its instance list

An instance was ready once routes and pools were in force, and the three documents arrive by separate calls: the list may come later, or much later when its fetch fails. Without it the instance knows no peers.

Change: the relay is ready only with the instance list, unless the platform says that it has none, its version is invalid, or nobody who answered within the time of the start holds one. The simulation now records versions of 0 and notices each change of readiness; before, it skipped both, which hid the fault.

Ruled out: a torn sample (the status reads readiness before versions).

Before: with the stricter simulation 7 of 67 cases of TableRelayTest failed, all with version 0 of instances. After: 67 of 67.

--- a/coordination/src/main/kotlin/pistachiopass/tables/relay/RelayStart.kt
+++ b/coordination/src/main/kotlin/pistachiopass/tables/relay/RelayStart.kt
@@ -7,8 +7,12 @@
  */
 package pistachiopass.tables.relay
 
+import com.github.michaelbull.result.get
 import pistachiopass.model.InstanceId
 import pistachiopass.model.InstanceList
+import pistachiopass.model.TableVersion
+import pistachiopass.tables.DocumentName
+import pistachiopass.tables.instanceListCheck
 import kotlin.time.Duration.Companion.milliseconds
 
 /** The next step of the start. */
@@ -46,15 +50,34 @@
     var platformList: InstanceList? = null
         private set
 
+    private var isListHeld = false
+    private var isListMissing = false
+
+    /**
+     * Whether there is no instance list: none that answered holds one, and the platform is among them or the time of
+     * the start is over. A peer alone does not prove it earlier, since it may have just started itself.
+     */
+    val hasNoList: Boolean get() = !isListHeld && (isListMissing || (answers > 0 && endsAt.hasPassedNow()))
+
     /** Records the reply of [peer] to a comparison; [versions] is null when the call failed. */
     fun onReply(peer: InstanceId, versions: TableVersions?) {
-        if (outstanding.remove(peer) && versions?.documents.orEmpty().isNotEmpty()) answers++
+        val documents = versions?.documents.orEmpty()
+        if (outstanding.remove(peer) && documents.isNotEmpty()) answers++
+        if (documents.any { it.document == DocumentName.INSTANCES }) isListHeld = true
     }
 
-    /** Records the instance list of the platform, or null when the platform returned none. */
-    fun onList(list: InstanceList?) {
+    /** Records the result of reading the instance list of the platform. */
+    fun onListRead(outcome: WatchOutcome) {
         listRead = ListRead.ENDED
-        platformList = list
+        val document = (outcome as? WatchOutcome.Changed)?.document
+        platformList = document?.value?.let { instanceListCheck().read(it).toResult().get() }
+        if (document != null) isListHeld = true
+        if (outcome is WatchOutcome.Unchanged) onListUnchanged(TableVersion.NONE)
+    }
+
+    /** Records that the platform holds no instance list above [version]. */
+    fun onListUnchanged(version: TableVersion) {
+        if (version == TableVersion.NONE) isListMissing = true
     }
 
     /** Returns the next step, given the instance list in force and whether documents are being fetched. */
--- a/coordination/src/main/kotlin/pistachiopass/tables/relay/RelayedTables.kt
+++ b/coordination/src/main/kotlin/pistachiopass/tables/relay/RelayedTables.kt
@@ -23,6 +23,10 @@
 
     internal val state: TablesState get() = tables.state.value
 
+    /** The documents of which a version above the one in force was refused. */
+    internal val refused: Set<DocumentName>
+        get() = DocumentName.entries.filter { statuses()[it.ordinal].refusedVersion != null }.toSet()
+
     /** Returns the version in force and the present age of each document. */
     public fun statuses(): List<TableStatus> = tables.statusAt(nowMillis())
 
--- a/coordination/src/main/kotlin/pistachiopass/tables/relay/TableRelay.kt
+++ b/coordination/src/main/kotlin/pistachiopass/tables/relay/TableRelay.kt
@@ -8,11 +8,9 @@
  */
 package pistachiopass.tables.relay
 
-import com.github.michaelbull.result.get
 import pistachiopass.model.InstanceId
 import pistachiopass.tables.DocumentName
 import pistachiopass.tables.TablesInForce
-import pistachiopass.tables.instanceListCheck
 import kotlin.time.ComparableTimeMark
 
 /** Returns a relay that offers the received documents to [tables]. */
@@ -40,9 +38,13 @@
     private val fetches = DocumentFetches()
     private val peers = RelayPeers(environment, settings) { documents.state.instances?.value ?: start.platformList }
     private var isStarted = false
-    private val hasTables: Boolean get() = documents.state.let { it.routes != null && it.pools != null }
+    private val hasTables: Boolean get() = documents.state.let { it.routes != null && it.pools != null } && hasList
 
-    /** Whether the start has ended and a routes table and a pools table are in force. */
+    /** Whether an instance list is in force, or none that is valid is to be had; without it the peers are unknown. */
+    private val hasList: Boolean
+        get() = documents.state.instances != null || start.hasNoList || DocumentName.INSTANCES in documents.refused
+
+    /** Whether the start has ended and routes, pools and, if there is one, the instance list are in force. */
     public val isReady: Boolean
         @Synchronized get() = isStarted && hasTables
 
@@ -93,6 +95,7 @@
         val document = action.document
         watches.onEnded(document, outcome)?.let { observer.onPlatformReachability(document, it) }
         if (outcome is WatchOutcome.Unchanged) {
+            if (document == DocumentName.INSTANCES) start.onListUnchanged(action.after)
             documents.confirm(DocumentVersion(document, action.after, ageMillis = 0), callStartedAt)
         }
         val isNew = outcome is WatchOutcome.Changed &&
@@ -102,10 +105,7 @@
 
     /** Takes the instance list that the platform returned during the start. */
     @Synchronized
-    public fun onListRead(outcome: WatchOutcome) {
-        val value = (outcome as? WatchOutcome.Changed)?.document?.value
-        start.onList(value?.let { instanceListCheck().read(it).toResult().get() })
-    }
+    public fun onListRead(outcome: WatchOutcome): Unit = start.onListRead(outcome)
 
     private fun startActions(): List<RelayAction> =
         when (val step = start.next(documents.state.instances?.value, fetches.isRunning)) {
--- a/coordination/src/test/kotlin/pistachiopass/tables/relay/RelaySimulation.kt
+++ b/coordination/src/test/kotlin/pistachiopass/tables/relay/RelaySimulation.kt
@@ -53,7 +53,7 @@
     private var order = 0L
     val accepted = ArrayList<Applied>()
 
-    /** The versions that instances used for requests: those in force when they became ready, and all later ones. */
+    /** The versions, or 0, that instances used for requests: those when they became ready, and all later ones. */
     val history = ArrayList<Applied>()
     val publishedAt = HashMap<Pair<DocumentName, Long>, Long>()
     val platform = FakePlatform(this)
@@ -195,10 +195,11 @@
             if (mine == epoch && relay.isReady) recordServed(document, version)
         }
         relay = tableRelayOf(environment, tables, observer, simulation.scenario.settings)
+        var wasReady = false
         loop(random.nextLong(TICK_MILLIS), TICK_MILLIS) {
-            val wasReady = relay.isReady
             perform(relay.tick())
             if (relay.isReady && !wasReady) DocumentName.entries.forEach { recordServed(it, versionOf(it)) }
+            wasReady = relay.isReady
         }
         loop(random.nextLong(HEARTBEAT_MILLIS), HEARTBEAT_MILLIS, ::sendHeartbeats)
     }
@@ -211,7 +212,7 @@
     fun versionOf(document: DocumentName): Long = tables.state.value.versionOf(document).value
 
     private fun recordServed(document: DocumentName, version: Long) {
-        if (version > 0) simulation.history += Applied(simulation.nowMillis, self.instance, document, version)
+        simulation.history += Applied(simulation.nowMillis, self.instance, document, version)
     }
 
     private fun loop(firstMillis: Long, periodMillis: Long, run: () -> Unit): Unit = inIncarnation(firstMillis) {
--- a/coordination/src/test/kotlin/pistachiopass/tables/relay/TableRelayTest.kt
+++ b/coordination/src/test/kotlin/pistachiopass/tables/relay/TableRelayTest.kt
@@ -200,6 +200,21 @@
             }
             runFor(IN_FORCE_MILLIS)
         },
+        Case("restarts while most calls fail", LOSSY.copy(lossPercent = 40)) {
+            repeat(4) {
+                simulatedInstances.values.forEach { restart(it) }
+                runFor(20_000)
+            }
+            publishPools(version = 2)
+            runFor(4 * IN_FORCE_MILLIS)
+        },
+        Case("restarts of all instances, which then read the platform") {
+            simulatedInstances.values.forEach { it.stop() }
+            simulatedInstances.values.forEach { it.start() }
+            runFor(IN_FORCE_MILLIS)
+            publishPools(version = 2)
+            runFor(IN_FORCE_MILLIS)
+        },
         Case("a refused version between valid ones") {
             platform.publish(DocumentName.POOLS, 2, """{"pool":1}""")
             runFor(1_000)
