--- a/coordination/src/main/kotlin/pistachiopass/membership/MemberRecords.kt
+++ b/coordination/src/main/kotlin/pistachiopass/membership/MemberRecords.kt
@@ -64,7 +64,7 @@
      * in turn, which repairs what got lost. Most of these are of the receiver's data centre, which it needs to know.
      */
     fun updatesToSend(count: Int, receiver: MemberHost): List<MemberUpdate> {
-        val limit = TRANSMISSIONS_FACTOR * ceil(ln(records.size + 2.0) / ln(2.0)).toInt()
+        val limit = TRANSMISSIONS_PER_DOUBLING * ceil(ln(records.size + 2.0) / ln(2.0)).toInt()
         val dataCentre = records[receiver]?.member?.dataCentre
         val isForeign = { host: MemberHost -> records[host]?.member?.dataCentre != dataCentre }
         val hosts = transmissions.keys.sortedBy { transmissions.getValue(it) + if (isForeign(it)) FOREIGN_RANK else 0 }
@@ -92,8 +92,8 @@
     member.incarnation > known.member.incarnation ||
         (member.incarnation == known.member.incarnation && status > known.status)
 
-/** Multiple of the logarithm of the members for which an update is passed on; see Das et al., "SWIM", 2002. */
-private const val TRANSMISSIONS_FACTOR: Int = 3
+/** Times that an update is passed on for each doubling of the instances that have it; see Das et al., "SWIM", 2002. */
+private const val TRANSMISSIONS_PER_DOUBLING: Int = 2
 
 /** Transmissions by which news of other data centres than the receiver's ranks later. */
 private const val FOREIGN_RANK: Int = 4
--- a/coordination/src/main/kotlin/pistachiopass/published/WatchDuty.kt
+++ b/coordination/src/main/kotlin/pistachiopass/published/WatchDuty.kt
@@ -51,6 +51,8 @@
     private val startedMillis = nowMillis()
     private val spreadMillis = random.nextLong(settings.spreadMillis + 1)
     private var watchUntilMillis = Long.MIN_VALUE
+    private var rankedMembers: Collection<S>? = null
+    private var ranked: List<S> = emptyList()
 
     /**
      * Returns the plan for now. [ageMillis] is the age of the state, null if there is none; [isFed] tells whether other
@@ -58,7 +60,7 @@
      */
     public fun plan(peers: WatchPeers<S>, ageMillis: Long?, isFed: Boolean, isSilent: (S) -> Boolean): WatchPlan<S> {
         val now = nowMillis()
-        val ranked = (peers.local + self).rankedFor("watch/$dataCentre") { it.toString() }
+        val ranked = rankedOf(peers.local)
         val isWatcher = ranked.take(settings.watchers).contains(self)
         val isOld = if (ageMillis == null) isStartOver(now, isWatcher, peers) else ageMillis > oldMillis()
         val isOnDuty = isWatcher && ageMillis != null
@@ -69,6 +71,15 @@
         return WatchPlan(now < watchUntilMillis, isWatcher, (sources + helpers).distinct())
     }
 
+    /** Ranks are computed anew only when the members have changed. */
+    private fun rankedOf(local: Collection<S>): List<S> {
+        if (local !== rankedMembers) {
+            rankedMembers = local
+            ranked = (local + self).rankedFor("watch/$dataCentre") { it.toString() }
+        }
+        return ranked
+    }
+
     private fun oldMillis(): Long = settings.ownWatchAgeMillis + spreadMillis
 
     private fun isStartOver(now: Long, isWatcher: Boolean, peers: WatchPeers<S>): Boolean {
--- a/entry/src/main/kotlin/pistachiopass/entry/logging/EventField.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/logging/EventField.kt
@@ -13,7 +13,7 @@
 /** Named value of a log line, created by `field`, [tokenField] or [fingerprintField]. */
 public class EventField internal constructor(public val name: String, internal val value: Any) {
     init {
-        require(name matches FIELD_NAME && name !in RESERVED_NAMES) { "field name $name is malformed or reserved" }
+        require(isFieldName(name)) { "field name $name is malformed or reserved" }
     }
 
     override fun toString(): String = "$name=$value"
@@ -61,12 +61,5 @@
 /** Greatest length of a token that is written. */
 public const val TOKEN_LENGTH_MAX: Int = 128
 
-internal fun safeToken(text: String): String =
-    if (text.length <= TOKEN_LENGTH_MAX && text matches TOKEN && !text.contains(KEY_LIKE)) text else HIDDEN
-
 private const val PROJECT_PREFIX: String = "pistachiopass."
 private const val FINGERPRINT_BYTES: Int = 6
-private val FIELD_NAME = Regex("[a-z][A-Za-z0-9]*")
-private val RESERVED_NAMES = setOf("time", "level", "event", "number", "requestId")
-private val TOKEN = Regex("[A-Za-z0-9_.:@#\\[\\]-]+")
-private val KEY_LIKE = Regex("[A-Za-z0-9]{40}")
--- a/entry/src/main/kotlin/pistachiopass/entry/logging/EventLog.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/logging/EventLog.kt
@@ -26,7 +26,8 @@
 public fun EventLog.log(event: Event, requestId: RequestId, vararg fields: EventField): Unit =
     write(event, requestId, fields.asList())
 
-internal const val EVENT_LOGGER: String = "pistachiopass.event"
+/** Name of the logger of events. */
+public const val EVENT_LOGGER: String = "pistachiopass.event"
 
 internal fun log4jEventLogOf(logger: Logger): EventLog =
     EventLog { event, requestId, fields ->
--- a/gateway/src/main/kotlin/pistachiopass/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/Gateway.kt
@@ -29,6 +29,7 @@
 import pistachiopass.gateway.forward.RetryBudget
 import pistachiopass.gateway.forward.Sender
 import pistachiopass.gateway.forward.SenderContext
+import pistachiopass.gateway.forward.SharedEndpoints
 import pistachiopass.gateway.forward.SharedLimits
 import pistachiopass.gateway.forward.admissionOf
 import pistachiopass.gateway.forward.holdMillisOf
@@ -47,6 +48,7 @@
 import pistachiopass.gateway.peers.PeerStateHandler
 import pistachiopass.gateway.peers.Peers
 import pistachiopass.gateway.placement.EndpointHealth
+import pistachiopass.gateway.placement.EngineScopes
 import pistachiopass.gateway.placement.FleetLoad
 import pistachiopass.gateway.placement.Placement
 import pistachiopass.gateway.settings.GatewaySettings
@@ -176,7 +178,7 @@
         val orders = adapter.endpointOrders(orderClient)
         val context = SenderContext(
             wire,
-            knownState,
+            SharedEndpoints(knownState, EngineScopes(membership::self, membership::live)),
             admission,
             ColdBudget(bounds, instances, clock),
             EndpointRecords(load, health, peers::placed),
@@ -186,7 +188,7 @@
         return Forwarder(
             wire,
             admission,
-            Placement(load, health, ::monotonicMillis),
+            Placement(load, health, nowMillis = ::monotonicMillis),
             retries,
             Sender(endpointPool, context),
             RequestLog(EventLog, knownState),
@@ -223,7 +225,7 @@
 /** Age of the published state up to which the instance is ready; covers two long polls of the store and a reconnect. */
 private const val READY_STATE_AGE_MAX_MILLIS: Long = 3_500
 private const val READY_POLL_MILLIS: Long = 10
-private const val HOUSEKEEPING_MILLIS: Long = 250
+private const val HOUSEKEEPING_MILLIS: Long = 1_000
 
 private const val STOP_POLL_MILLIS: Long = 50
 
--- a/gateway/src/main/kotlin/pistachiopass/gateway/WarmUp.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/WarmUp.kt
@@ -30,6 +30,7 @@
 import pistachiopass.gateway.forward.RetryBudget
 import pistachiopass.gateway.forward.Sender
 import pistachiopass.gateway.forward.SenderContext
+import pistachiopass.gateway.forward.SharedEndpoints
 import pistachiopass.gateway.forward.admissionOf
 import pistachiopass.gateway.http.CallerConnections
 import pistachiopass.gateway.http.CallerContext
@@ -53,11 +54,14 @@
 import pistachiopass.gateway.model.TokenCounts
 import pistachiopass.gateway.model.WeightedService
 import pistachiopass.gateway.placement.EndpointHealth
+import pistachiopass.gateway.placement.EngineScopes
 import pistachiopass.gateway.placement.FleetLoad
 import pistachiopass.gateway.placement.Placement
 import pistachiopass.gateway.settings.GatewaySettings
 import pistachiopass.gateway.state.ageClockOf
 import pistachiopass.gateway.state.knownStateOf
+import pistachiopass.membership.Member
+import pistachiopass.membership.MemberHost
 import pistachiopass.model.DataCentreId
 import pistachiopass.model.EndpointId
 import pistachiopass.model.RequestId
@@ -145,14 +149,14 @@
         val admission = admissionOf(knownState, bounds.revokeMillis.toLong(), GracefulShutdown(::monotonicMillis))
         val context = SenderContext(
             wire,
-            knownState,
+            SharedEndpoints(knownState, EngineScopes({ WARM_UP_MEMBER }, { emptyList() })),
             admission,
             ColdBudget(bounds, { 1 }, clock),
-            EndpointRecords(load, health) { },
+            EndpointRecords(load, health) { _, _ -> },
             Reservations(RefusingOrders, holdMillis = 1, scope),
         )
         val retries = RetryBudget(bounds, { 1 }, clock::nowMillis)
-        val placement = Placement(load, health, ::monotonicMillis)
+        val placement = Placement(load, health, nowMillis = ::monotonicMillis)
         return Forwarder(
             wire,
             admission,
@@ -206,6 +210,7 @@
 
 private const val WARM_UP_HOST = "own"
 private const val WARM_UP_PREFIX = "/own/"
+private val WARM_UP_MEMBER = Member(MemberHost("own"), DataCentreId("own"), incarnation = 0)
 private val WARM_UP_SERVICE = ServiceName("own")
 private val WARM_UP_ENDPOINT = EndpointId("own")
 private val WARM_UP_SPEEDS = EngineSpeeds(
@@ -240,8 +245,8 @@
     workspaceByApiKey = null,
 )
 
-/** Enough requests for the JIT compiler to compile the request path, which takes some hundred calls. */
-private const val WARM_UP_REQUESTS: Int = 120
+/** Enough requests to load the classes of the request path; each further one costs about what it saves later. */
+private const val WARM_UP_REQUESTS: Int = 24
 private const val STREAM_EVENTS: Int = 4
 private const val BODY_BYTES: Int = 1_200
 private const val PROMPT_TOKENS: Long = 40_000
--- a/gateway/src/main/kotlin/pistachiopass/gateway/forward/Sender.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/forward/Sender.kt
@@ -14,27 +14,50 @@
 import pistachiopass.gateway.model.EndpointIncarnation
 import pistachiopass.gateway.model.PrefillHelper
 import pistachiopass.gateway.model.RunLimit
+import pistachiopass.gateway.model.Service
 import pistachiopass.gateway.placement.Assignment
+import pistachiopass.gateway.placement.Candidates
 import pistachiopass.gateway.placement.EndpointHealth
+import pistachiopass.gateway.placement.EngineScopes
 import pistachiopass.gateway.placement.FleetLoad
 import pistachiopass.gateway.placement.WorkEstimate
 import pistachiopass.gateway.state.KnownEndpoint
 import pistachiopass.gateway.state.KnownState
+import pistachiopass.membership.MemberHost
 import pistachiopass.model.Failure
 import pistachiopass.model.FailureCode
 import pistachiopass.model.Verdict
 
-/** Receives the estimates of the requests that this instance has placed, to send them to the other instances. */
+/** Receives the estimates of the requests that this instance has placed, to send them to other instances. */
 internal fun interface EstimateSink {
-    fun placed(estimates: List<WorkEstimate>)
+    fun placed(audience: List<MemberHost>, estimate: WorkEstimate)
 }
 
 /** Load and health of endpoints, as recorded from the requests sent to them and from their responses. */
 internal class EndpointRecords(val load: FleetLoad, val health: EndpointHealth, val estimates: EstimateSink)
 
+/** The endpoints on which this instance places, and the instances that it tells of its placements. */
+internal class SharedEndpoints(private val knownState: KnownState, private val scopes: EngineScopes) {
+    /** Returns the endpoints of [service] that [mayReceive] accepts. */
+    fun candidatesOf(service: Service, mayReceive: (KnownEndpoint) -> Boolean): Candidates {
+        val usable = knownState.endpoints.of(service.name)
+        val accepted = usable.filter(mayReceive)
+        if (service.engine == null) return Candidates(accepted, accepted)
+        val own = scopes.ownOf(service.name, usable)
+        return Candidates(accepted.filter { it.id in own }, accepted)
+    }
+
+    /** Returns whether requests may be sent to [endpoint] now. */
+    fun isUsable(endpoint: KnownEndpoint): Boolean = knownState.endpoints.isUsable(endpoint)
+
+    /** Returns the other instances that place on [endpoint]; none if it is not a model engine. */
+    fun audienceOf(service: Service, endpoint: KnownEndpoint): List<MemberHost> =
+        if (service.engine == null) emptyList() else scopes.audienceOf(endpoint, knownState.endpoints.of(service.name))
+}
+
 internal class SenderContext(
     val wire: WireFormat,
-    val knownState: KnownState,
+    val endpoints: SharedEndpoints,
     val admission: Admission,
     val cold: ColdBudget,
     val records: EndpointRecords,
@@ -44,17 +67,20 @@
 /** Makes attempts over pooled connections. */
 internal class Sender(private val pool: UpstreamPool<EndpointIncarnation>, private val context: SenderContext) {
     /** Returns the endpoints that [request] may be sent to now. */
-    fun candidatesFor(request: ForwardedRequest): List<KnownEndpoint> =
-        context.knownState.endpoints.of(request.admitted.service.name).filter { mayReceive(it, request) }
+    fun candidatesFor(request: ForwardedRequest): Candidates =
+        context.endpoints.candidatesOf(request.admitted.service) { mayReceive(it, request) }
 
     private fun mayReceive(endpoint: KnownEndpoint, request: ForwardedRequest): Boolean =
-        context.knownState.endpoints.isUsable(endpoint) &&
+        context.endpoints.isUsable(endpoint) &&
             context.cold.maySend(endpoint, request.admitted.service.coldRequestsPerSecond)
 
     /** Sends [request] to the endpoint of [assignment] and forwards the response to the caller. */
     suspend fun attempt(request: ForwardedRequest, assignment: Assignment): AttemptOutcome {
         val placed = assignment.estimates.map { context.records.load.add(it, isOwn = true) }
-        context.records.estimates.placed(assignment.estimates)
+        (listOf(assignment.endpoint) + assignment.helpers).zip(assignment.estimates) { endpoint, estimate ->
+            val audience = context.endpoints.audienceOf(request.admitted.service, endpoint)
+            context.records.estimates.placed(audience, estimate)
+        }
         val attempt = EndpointAttempt(request, assignment, placed)
         try {
             return if (assignment.reservedTokens == 0L) send(attempt, helpersOf(assignment)) else sendReserved(attempt)
@@ -115,7 +141,7 @@
             refusal != null ->
                 AttemptOutcome.Failed(attempt.incarnation, refusal, hasReachedEndpoint = false, isFinal = true)
             !mayReceive(assignment.endpoint, attempt.request) ||
-                !assignment.helpers.all(context.knownState.endpoints::isUsable) ->
+                !assignment.helpers.all(context.endpoints::isUsable) ->
                 notRunOutcome(assignment, FailureCode.NO_ENDPOINT, "the endpoint or a helper gets no new requests")
             else -> null
         }
--- a/gateway/src/main/kotlin/pistachiopass/gateway/peers/Peers.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/peers/Peers.kt
@@ -46,7 +46,7 @@
     private val membership = context.membership
     private val channel = PeerChannel(Address(control.host, peerPort))
     private val exchange = StateExchange(membership, context.state, context.watch, this, clock, scope)
-    private val unsentEstimates = ArrayList<EncodedEstimate>()
+    private val unsentEstimates = LinkedHashMap<List<MemberHost>, MutableList<EncodedEstimate>>()
     private var loggedPeers: Set<MemberHost> = emptySet()
 
     /** Binds the UDP port and starts the periodic messages. */
@@ -67,11 +67,11 @@
     /** Tells others that this instance stops. */
     fun leave(): Unit = send(membership.leave())
 
-    /** Queues updates of placed work for the other instances; they are sent in batches a few milliseconds later. */
-    fun placed(estimates: List<WorkEstimate>) {
-        val isFirst = unsentEstimates.isEmpty()
-        estimates.mapTo(unsentEstimates, ::encodedEstimateOf)
-        if (isFirst) scope.launch { sendUpdates() }
+    /** Queues an update of placed work for [audience]; updates are sent in batches a few milliseconds later. */
+    fun placed(audience: List<MemberHost>, estimate: WorkEstimate) {
+        if (audience.isEmpty()) return
+        if (unsentEstimates.isEmpty()) scope.launch { sendUpdates() }
+        unsentEstimates.getOrPut(audience, ::ArrayList) += encodedEstimateOf(estimate)
     }
 
     override fun subscribe(source: MemberHost, subscription: FeedSubscription): Unit =
@@ -84,8 +84,9 @@
 
     private suspend fun sendUpdates() {
         delay(UPDATE_DELAY_MILLIS)
-        val hosts = membership.live.map { it.host }
-        updatesOf(unsentEstimates).forEach { channel.send(hosts, it) }
+        unsentEstimates.forEach { (audience, estimates) ->
+            updatesOf(estimates).forEach { channel.send(audience, it) }
+        }
         unsentEstimates.clear()
     }
 
@@ -115,8 +116,8 @@
 }
 
 /** Several ticks in each period of the membership protocol and of the subscriptions. */
-private const val TICK_MILLIS: Long = 200
-private const val TICKS_PER_LOG: Int = 5
+private const val TICK_MILLIS: Long = 250
+private const val TICKS_PER_LOG: Int = 4
 
 /** Time for which updates of placed work are batched; shorter than the time that a request takes to start. */
 private const val UPDATE_DELAY_MILLIS: Long = 10
--- a/gateway/src/main/kotlin/pistachiopass/gateway/peers/StateExchange.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/peers/StateExchange.kt
@@ -18,6 +18,7 @@
 import pistachiopass.gateway.state.PublishedState
 import pistachiopass.gateway.state.StateWatch
 import pistachiopass.membership.GossipMembership
+import pistachiopass.membership.Member
 import pistachiopass.membership.MemberHost
 import pistachiopass.published.FeedSubscription
 import pistachiopass.published.FeedSubscriptions
@@ -60,6 +61,8 @@
     private val feed = StateFeed<MemberHost>(state.log, freshness::ageMillisOrNull, ::monotonicMillis)
     private val subscriptions = FeedSubscriptions<MemberHost>(clock::nowMillis)
     private var plan = WatchPlan<MemberHost>(watchesStore = false, isOnDuty = false, emptyList())
+    private var knownMembers: List<Member> = emptyList()
+    private var watchPeers = WatchPeers<MemberHost>(emptyList(), emptyList())
     private var fedMillis = Long.MIN_VALUE
     private var isFetching = false
 
@@ -69,10 +72,8 @@
 
     /** Renews the subscriptions, and starts or stops the own watch; to be called several times a second. */
     fun tick() {
-        val (local, others) = membership.live.partition { it.dataCentre == membership.self.dataCentre }
-        val peers = WatchPeers(local.map { it.host }, others.map { it.host })
         val isFed = clock.nowMillis() - fedMillis <= FED_MILLIS
-        val next = duty.plan(peers, freshness.ageMillisOrNull(), isFed, subscriptions::isSilent)
+        val next = duty.plan(watchPeers(), freshness.ageMillisOrNull(), isFed, subscriptions::isSilent)
         if (next.watchesStore != plan.watchesStore) {
             EventLog.log(
                 Event.STORE_WATCH_CHANGED,
@@ -89,6 +90,15 @@
         }
     }
 
+    private fun watchPeers(): WatchPeers<MemberHost> {
+        if (membership.live !== knownMembers) {
+            knownMembers = membership.live
+            val (local, others) = knownMembers.partition { it.dataCentre == membership.self.dataCentre }
+            watchPeers = WatchPeers(local.map { it.host }, others.map { it.host })
+        }
+        return watchPeers
+    }
+
     fun onSubscribe(reader: MemberHost, subscription: FeedSubscription) {
         feed.subscribe(reader, subscription)?.let { links.update(reader, it) }
     }
@@ -127,9 +137,9 @@
     private fun apply(changes: PublishedChanges, confirmedMillis: Long) {
         fedMillis = maxOf(fedMillis, confirmedMillis)
         val isConfirmed = freshness.confirmed(confirmedMillis)
-        val before = state.position
-        state.apply(changes)
-        if (isConfirmed || state.position != before) updateReaders()
+        val isNew = changes.isFull || changes.items.isNotEmpty() || state.position != changes.position
+        if (isNew) state.apply(changes)
+        if (isNew || isConfirmed) updateReaders()
     }
 
     private fun updateReaders(): Unit = feed.updates().forEach { (reader, update) -> links.update(reader, update) }
--- a/gateway/src/main/kotlin/pistachiopass/gateway/placement/Placement.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/placement/Placement.kt
@@ -15,6 +15,7 @@
 import pistachiopass.gateway.model.Service
 import pistachiopass.gateway.model.TokenCounts
 import pistachiopass.gateway.state.KnownEndpoint
+import kotlin.random.Random
 
 /** Input of the placement of one request. */
 public class PlacementRequest(
@@ -39,17 +40,21 @@
     public val reservedTokens: Long,
 )
 
+/** Endpoints that may get a request: [all] of them, and those [inScope] of this instance. */
+public class Candidates(public val inScope: List<KnownEndpoint>, public val all: List<KnownEndpoint>)
+
 /** Assigns requests to endpoints. Confined to the event loop. */
 public class Placement internal constructor(
     private val load: FleetLoad,
     private val health: EndpointHealth,
+    private val random: Random = Random.Default,
     private val nowMillis: () -> Long,
 ) {
     /** Returns the best assignment of [request] to [endpoints], or null if none of them can take it. */
-    public fun chooseOrNull(request: PlacementRequest, endpoints: List<KnownEndpoint>): Assignment? {
-        val notExcluded = endpoints.filter { it.published.incarnation !in request.excluded }
-        val healthy = notExcluded.filterNot { health.isSuspected(it.published.incarnation) }
-        val candidates = healthy.ifEmpty { notExcluded }
+    public fun chooseOrNull(request: PlacementRequest, endpoints: Candidates): Assignment? {
+        val candidates = healthyOf(request, endpoints.inScope)
+            .ifEmpty { healthyOf(request, endpoints.all) }
+            .ifEmpty { notExcludedOf(request, endpoints.all) }
         val engine = request.service.engine
         return when {
             candidates.isEmpty() -> null
@@ -58,9 +63,16 @@
         }
     }
 
+    private fun healthyOf(request: PlacementRequest, endpoints: List<KnownEndpoint>): List<KnownEndpoint> =
+        notExcludedOf(request, endpoints).filterNot { health.isSuspected(it.published.incarnation) }
+
+    private fun notExcludedOf(request: PlacementRequest, endpoints: List<KnownEndpoint>): List<KnownEndpoint> =
+        endpoints.filter { it.published.incarnation !in request.excluded }
+
+    /** Instances do not tell each other of such requests, so of equally loaded endpoints each takes a random one. */
     private fun leastLoadedAssignment(candidates: List<KnownEndpoint>): Assignment {
         val now = nowMillis()
-        val best = candidates.minBy {
+        val best = candidates.shuffled(random).minBy {
             val incarnation = it.published.incarnation
             load.at(incarnation).requestsAt(now).toDouble() / maxOf(1, it.published.slots) +
                 health.failureScore(incarnation)
@@ -84,8 +96,5 @@
     }
 }
 
-/**
- * Time for which other instances count a request to a service without model engines as load, since no message tells
- * them when it ends.
- */
+/** Estimated time of a request to a service without model engines. */
 private const val PLAIN_ESTIMATE_MILLIS: Double = 40.0
--- a/gateway/src/main/kotlin/pistachiopass/gateway/state/KnownState.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/state/KnownState.kt
@@ -31,6 +31,7 @@
 
     /** Applies changed [items]. */
     public fun apply(items: List<StateItem>) {
+        if (items.isEmpty()) return
         items.forEach(::apply)
         endpoints.refresh()
     }
--- a/gateway/src/test/kotlin/pistachiopass/gateway/placement/PlacementLoadTest.kt
+++ b/gateway/src/test/kotlin/pistachiopass/gateway/placement/PlacementLoadTest.kt
@@ -118,7 +118,7 @@
         val answerTokens = request.events.toLong() * SPEEDS.decodeStepsPerPass
         val tokenCounts = TokenCounts(request.promptTokens, answerTokens, answerTokens)
         val placementRequest = PlacementRequest(route, serviceOf(), tokenCounts, elapsedMillis = 0, emptySet())
-        val assignment = checkNotNull(placement.chooseOrNull(placementRequest, endpoints))
+        val assignment = checkNotNull(placement.chooseOrNull(placementRequest, Candidates(endpoints, endpoints)))
         val placed = assignment.estimates.map { load.add(it, isOwn = true) }
         val first = engineAt(assignment.endpoint.published.incarnation)
         request.partsLeft = assignment.estimates.size
