Keep the watch, the membership and the periodic checks running after an unexpected exception

Cause: looked for what operators of similar systems ran into. Each of these loops ended for good with the first unexpected exception, while the process went on with a state that only got older. A value that broke the decoder dropped all other items of the same changes, although their revision counted as applied: a withdrawn key could stay in use.

Before: the three new cases of StateWatchTest failed with the exception (shown with both guards rethrowing). After: 16 of 16.

--- a/gateway/src/main/kotlin/pistachiopass/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/Gateway.kt
@@ -83,7 +83,7 @@
     private val scope = CoroutineScope(SupervisorJob() + eventLoop.asCoroutineDispatcher() + exceptionHandler)
     private val clock = ageClockOf()
     private val knownState = knownStateOf(clock)
-    private val state = PublishedState(knownState, adapter.decoder)
+    private val state = PublishedState(knownState, decoder = adapter.decoder)
     private val orderClient = HttpClient(UpstreamPool(eventLoop, clock))
     private val source = adapter.stateSource(
         HttpClient(UpstreamPool(eventLoop, clock)),
@@ -195,16 +195,14 @@
         )
     }
 
-    private suspend fun housekeeping() {
-        while (true) {
-            delay(HOUSEKEEPING_MILLIS)
-            knownState.endpoints.expireMissing()
-            val known = knownState.endpoints.all().mapTo(HashSet()) { it.published.incarnation }
-            endpointPool.trim(known::contains)
-            health.trim(known::contains)
-            load.trim(known::contains)
-            connections.closeTimedOut(System.nanoTime(), callerLimits())
-        }
+    private suspend fun housekeeping(): Unit = repeatUntilCancelled {
+        delay(HOUSEKEEPING_MILLIS)
+        knownState.endpoints.expireMissing()
+        val known = knownState.endpoints.all().mapTo(HashSet()) { it.published.incarnation }
+        endpointPool.trim(known::contains)
+        health.trim(known::contains)
+        load.trim(known::contains)
+        connections.closeTimedOut(System.nanoTime(), callerLimits())
     }
 }
 
--- a/gateway/src/main/kotlin/pistachiopass/gateway/peers/Peers.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/peers/Peers.kt
@@ -17,6 +17,7 @@
 import pistachiopass.gateway.model.Address
 import pistachiopass.gateway.placement.FleetLoad
 import pistachiopass.gateway.placement.WorkEstimate
+import pistachiopass.gateway.repeatUntilCancelled
 import pistachiopass.gateway.state.AgeClock
 import pistachiopass.gateway.state.PublishedState
 import pistachiopass.gateway.state.StateWatch
@@ -53,7 +54,7 @@
     suspend fun start(eventLoop: EventLoop) {
         channel.open(eventLoop, ::receive)
         scope.launch {
-            while (true) {
+            repeatUntilCancelled {
                 repeat(TICKS_PER_LOG) {
                     send(membership.tick())
                     exchange.tick()
--- a/gateway/src/main/kotlin/pistachiopass/gateway/state/PublishedState.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/state/PublishedState.kt
@@ -1,19 +1,34 @@
 /** The published items that this instance has, from the store or from other instances, and what they say. */
 package pistachiopass.gateway.state
 
+import pistachiopass.entry.logging.Event
+import pistachiopass.entry.logging.EventLog
+import pistachiopass.entry.logging.field
+import pistachiopass.entry.logging.log
+import pistachiopass.entry.logging.tokenField
 import pistachiopass.gateway.StateDecoder
+import pistachiopass.gateway.StateItem
 import pistachiopass.published.PublishedChanges
+import pistachiopass.published.PublishedItem
 import pistachiopass.published.PublishedLog
 import pistachiopass.published.Revision
 
 /** Decodes what changes in the log and applies it to [knownState]. Confined to the event loop. */
-public class PublishedState internal constructor(public val knownState: KnownState, private val decoder: StateDecoder) {
+public class PublishedState internal constructor(
+    public val knownState: KnownState,
+    private val events: EventLog = EventLog,
+    private val decoder: StateDecoder,
+) {
     internal val log: PublishedLog = PublishedLog()
 
     /** Position up to which all changes are applied, or null while nothing is known. */
     public val position: Revision? get() = log.position
 
-    /** Applies [changes]. */
-    public fun apply(changes: PublishedChanges): Unit =
-        knownState.apply(log.apply(changes).mapNotNull(decoder::decodeOrNull))
+    /** Applies [changes]; an item that cannot be decoded keeps no other from being applied. */
+    public fun apply(changes: PublishedChanges): Unit = knownState.apply(log.apply(changes).mapNotNull(::decodedOrNull))
+
+    private fun decodedOrNull(item: PublishedItem): StateItem? =
+        runCatching { decoder.decodeOrNull(item) }.onFailure { error ->
+            events.log(Event.INTERNAL_ERROR, tokenField("item", item.key), field("error", error))
+        }.getOrNull()
 }
--- a/gateway/src/main/kotlin/pistachiopass/gateway/state/StateWatch.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/state/StateWatch.kt
@@ -11,6 +11,7 @@
 import pistachiopass.entry.logging.log
 import pistachiopass.gateway.StateProblem
 import pistachiopass.gateway.StateSource
+import pistachiopass.gateway.repeatUntilCancelled
 import pistachiopass.published.PublishedChanges
 
 /** Applies what [source] publishes to [state] while [run] is active and the watch is wanted. */
@@ -37,12 +38,10 @@
         if (isWanted) wanted.complete(Unit) else if (wanted.isCompleted) wanted = CompletableDeferred()
     }
 
-    suspend fun run() {
-        while (true) {
-            wanted.await()
-            val pauseMillis = call()
-            if (pauseMillis > 0) delay(pauseMillis)
-        }
+    suspend fun run(): Unit = repeatUntilCancelled(log) {
+        wanted.await()
+        val pauseMillis = call()
+        if (pauseMillis > 0) delay(pauseMillis)
     }
 
     /** Calls the store once; returns the time until the next call. */
--- a/gateway/src/test/kotlin/pistachiopass/gateway/state/StateWatchTest.kt
+++ b/gateway/src/test/kotlin/pistachiopass/gateway/state/StateWatchTest.kt
@@ -13,6 +13,7 @@
 import org.junit.jupiter.api.TestFactory
 import pistachiopass.entry.logging.EventLog
 import pistachiopass.gateway.ASSISTANT
+import pistachiopass.gateway.StateDecoder
 import pistachiopass.gateway.StateProblem
 import pistachiopass.gateway.StateSource
 import pistachiopass.gateway.casesOf
@@ -84,6 +85,44 @@
                 assertEquals(usable, knownState.endpoints.of(ASSISTANT).map { it.id.value })
             }
         }
+
+    @TestFactory
+    fun `neither an unexpected exception nor a value that breaks the decoder ends the watch`(): List<DynamicTest> =
+        casesOf(listOf(0, 1, 3)) { errors ->
+            runTest {
+                val silent = EventLog { _, _, _ -> }
+                val clock = AgeClock { currentTime }
+                val knownState = knownStateOf(clock, silent)
+                val decoder = StateDecoder { item ->
+                    check(item.key != MALFORMED) { "unexpected" }
+                    endpointItem(item.revision.value, item.key, endpointOf(item.key))
+                }
+                val state = PublishedState(knownState, silent, decoder)
+                val stateWatch = StateWatch(FaultyStore(errors), state, clock, silent)
+                stateWatch.want(isWanted = true, isOnDuty = true)
+                val watch = launch { stateWatch.run() }
+                delay(2_000)
+                watch.cancel()
+                assertEquals(listOf("e1", "e2"), knownState.endpoints.of(ASSISTANT).map { it.id.value }.sorted())
+                assertTrue(knownState.freshness.isWithin(CONFIRMED_MILLIS))
+            }
+        }
+}
+
+/** Publishes endpoints, one of them with a value that the decoder fails on; its first [errors] calls throw. */
+private class FaultyStore(private var errors: Int) : StateSource {
+    override suspend fun readAll(): Result<PublishedChanges, StateProblem> {
+        check(errors-- <= 0) { "unexpected" }
+        val items = listOf("e1", MALFORMED, "e2").map { PublishedItem(it, Revision(2), ByteArray(0)) }
+        return Ok(PublishedChanges(Revision(2), isFull = true, items))
+    }
+
+    override suspend fun changesAfter(after: Revision, waitMillis: Long): Result<PublishedChanges, StateProblem> {
+        delay(waitMillis)
+        return Ok(PublishedChanges(after, isFull = false, emptyList()))
+    }
+
+    override fun reconnect(): Unit = Unit
 }
 
 /** Publishes an endpoint; its entry is removed at [LAPSE_MILLIS], when an outage of [outageMillis] begins. */
@@ -108,3 +147,7 @@
 }
 
 private const val LAPSE_MILLIS = 5_000L
+private const val MALFORMED = "malformed"
+
+/** Age of the state from which on other instances watch the store themselves. */
+private const val CONFIRMED_MILLIS = 1_500L
