Start the log's queue once, so that a process exits

A stack trace shows main in the stop of the asynchronous appender.

Change: the configuration alone starts its appenders.

--- a/coordination/src/main/kotlin/pistachiopass/published/WatchDuty.kt
+++ b/coordination/src/main/kotlin/pistachiopass/published/WatchDuty.kt
@@ -71,7 +71,7 @@
         return WatchPlan(now < watchUntilMillis, isWatcher, (sources + helpers).distinct())
     }
 
-    /** Ranks are computed anew only when the members have changed. */
+    /** Ranks anew only when the caller passes another collection than before; most calls pass the same one. */
     private fun rankedOf(local: Collection<S>): List<S> {
         if (local !== rankedMembers) {
             rankedMembers = local
--- a/gateway/src/main/kotlin/pistachiopass/gateway/forward/EventBuffer.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/forward/EventBuffer.kt
@@ -8,6 +8,10 @@
 internal class EventBuffer : AutoCloseable {
     private val bytes: ByteBuf = Unpooled.buffer(INITIAL_BYTES)
 
+    // Where the search for the end of the first event goes on, so that no byte is searched again with each addition.
+    private var lineOffset = 0
+    private var searchedBytes = 0
+
     /** Is true if bytes are buffered; after all complete events were taken, these belong to an incomplete one. */
     val hasPartialEvent: Boolean get() = bytes.isReadable
 
@@ -23,16 +27,25 @@
     /** Returns the length of the next event with the blank line that ends it, or null if it is incomplete. */
     fun nextLengthOrNull(): Int? {
         val start = bytes.readerIndex()
-        var lineStart = start
-        var lineEnd = bytes.indexOf(lineStart, bytes.writerIndex(), LINE_FEED)
+        var lineStart = start + lineOffset
+        var lineEnd = bytes.indexOf(start + searchedBytes, bytes.writerIndex(), LINE_FEED)
         while (lineEnd >= 0) {
-            if (isBlank(lineStart, lineEnd) && lineStart > start) return lineEnd + 1 - start
+            if (isBlank(lineStart, lineEnd) && lineStart > start) {
+                continueSearchAt(lineOffset = 0, searchedBytes = 0)
+                return lineEnd + 1 - start
+            }
             lineStart = lineEnd + 1
             lineEnd = bytes.indexOf(lineStart, bytes.writerIndex(), LINE_FEED)
         }
+        continueSearchAt(lineStart - start, bytes.readableBytes())
         return null
     }
 
+    private fun continueSearchAt(lineOffset: Int, searchedBytes: Int) {
+        this.lineOffset = lineOffset
+        this.searchedBytes = searchedBytes
+    }
+
     /** Returns the numeric `id` of the event in the next [length] bytes, or null if it has none. */
     fun idOrNull(length: Int): Long? =
         bytes.toString(bytes.readerIndex(), length, Charsets.ISO_8859_1)
--- a/gateway/src/main/kotlin/pistachiopass/gateway/forward/Sender.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/forward/Sender.kt
@@ -14,15 +14,12 @@
 import pistachiopass.gateway.model.EndpointIncarnation
 import pistachiopass.gateway.model.PrefillHelper
 import pistachiopass.gateway.model.RunLimit
-import pistachiopass.gateway.model.Service
 import pistachiopass.gateway.placement.Assignment
 import pistachiopass.gateway.placement.Candidates
 import pistachiopass.gateway.placement.EndpointHealth
-import pistachiopass.gateway.placement.EngineScopes
 import pistachiopass.gateway.placement.FleetLoad
 import pistachiopass.gateway.placement.WorkEstimate
 import pistachiopass.gateway.state.KnownEndpoint
-import pistachiopass.gateway.state.KnownState
 import pistachiopass.membership.MemberHost
 import pistachiopass.model.Failure
 import pistachiopass.model.FailureCode
@@ -36,25 +33,6 @@
 /** Load and health of endpoints, as recorded from the requests sent to them and from their responses. */
 internal class EndpointRecords(val load: FleetLoad, val health: EndpointHealth, val estimates: EstimateSink)
 
-/** The endpoints on which this instance places, and the instances that it tells of its placements. */
-internal class SharedEndpoints(private val knownState: KnownState, private val scopes: EngineScopes) {
-    /** Returns the endpoints of [service] that [mayReceive] accepts. */
-    fun candidatesOf(service: Service, mayReceive: (KnownEndpoint) -> Boolean): Candidates {
-        val usable = knownState.endpoints.of(service.name)
-        val accepted = usable.filter(mayReceive)
-        if (service.engine == null) return Candidates(accepted, emptyList(), accepted)
-        val own = scopes.ownOf(service.name, usable)
-        return Candidates(accepted.filter { it.id in own.home }, accepted.filter { it.id in own.overflow }, accepted)
-    }
-
-    /** Returns whether requests may be sent to [endpoint] now. */
-    fun isUsable(endpoint: KnownEndpoint): Boolean = knownState.endpoints.isUsable(endpoint)
-
-    /** Returns the other instances that place on [endpoint]; none if it is not a model engine. */
-    fun audienceOf(service: Service, endpoint: KnownEndpoint): List<MemberHost> =
-        if (service.engine == null) emptyList() else scopes.audienceOf(endpoint, knownState.endpoints.of(service.name))
-}
-
 internal class SenderContext(
     val wire: WireFormat,
     val endpoints: SharedEndpoints,
--- a/gateway/src/main/kotlin/pistachiopass/gateway/logging/LogSetup.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/logging/LogSetup.kt
@@ -42,7 +42,7 @@
     }
 
     override fun doConfigure() {
-        val console = started(
+        val console = added(
             ConsoleAppender.newBuilder()
                 .setName("console")
                 .setTarget(ConsoleAppender.Target.SYSTEM_OUT)
@@ -51,7 +51,7 @@
                 .setConfiguration(this)
                 .build(),
         )
-        val events = started(
+        val events = added(
             AsyncAppender.newBuilder()
                 .setName("events")
                 .setBufferSize(QUEUED_EVENTS_MAX)
@@ -67,11 +67,9 @@
         rootLogger.addAppender(console, null, null)
     }
 
-    private fun started(appender: Appender): Appender {
-        appender.start()
-        addAppender(appender)
-        return appender
-    }
+    // The configuration starts its appenders itself. A queue that is started twice has two threads, of which only one
+    // takes the mark that ends it, and the process never exits.
+    private fun added(appender: Appender): Appender = appender.also(::addAppender)
 }
 
 private const val LEVEL_PROPERTY = "pistachiopass.logLevel"
