--- a/coordination/src/main/kotlin/pistachiopass/model/Ids.kt
+++ b/coordination/src/main/kotlin/pistachiopass/model/Ids.kt
@@ -78,6 +78,15 @@
     override fun toString(): String = value
 }
 
+/** Identifies a part of a prompt, such as a system prompt or a document; requests with the same part share its id. */
+@Serializable
+@JvmInline
+public value class PromptPartId(public val value: String) : Comparable<PromptPartId> {
+    override fun compareTo(other: PromptPartId): Int = value.compareTo(other.value)
+
+    override fun toString(): String = value
+}
+
 /** Version of a published document; each publication increases it. */
 @Serializable
 @JvmInline
--- a/entry/src/main/kotlin/pistachiopass/entry/logging/Event.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/logging/Event.kt
@@ -56,6 +56,11 @@
     ENDPOINT_CHOSEN(number = 3003, Level.INFO, "A request was placed on an endpoint."),
     PLACEMENT_REFUSED(number = 3004, Level.WARN, "A request was placed on no endpoint; the reason is given."),
     RETRY(number = 3005, Level.INFO, "A request is sent again after an attempt failed."),
+    ATTEMPT_BROKEN(
+        number = 3006,
+        Level.INFO,
+        "A response broke off or did not come; how, how far it had come and the shared parts of the prompt are given.",
+    ),
     REQUEST_FINISHED(number = 3010, Level.INFO, "A request was answered in full."),
     REQUEST_FAILED(number = 3011, Level.WARN, "A request failed; code and verdict are given."),
     ENDPOINT_COLD(number = 3020, Level.WARN, "An endpoint is in a cold start and gets its cold budget only."),
--- a/gateway/src/main/kotlin/pistachiopass/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/Gateway.kt
@@ -107,6 +107,7 @@
     private val states = PeerStateClient(HttpClient(UpstreamPool(eventLoop, clock)))
     private val peers =
         Peers(control, settings.peerPort, PeerContext(membership, state, watch, states, load), clock, scope)
+    private val requestLog = RequestLog(EventLog, knownState)
     private val forwarder = forwarder(adapter)
     private var isStopping = false
     private var isWarm = false
@@ -183,6 +184,7 @@
             ColdBudget(bounds, instances, clock),
             EndpointRecords(load, health, peers::placed),
             Reservations(orders, holdMillisOf(bounds.freeMillis, bounds.holdMaxMillis), scope),
+            requestLog,
         )
         val retries = RetryBudget(settings.bounds, instances, clock::nowMillis)
         return Forwarder(
@@ -191,7 +193,7 @@
             Placement(load, health, nowMillis = ::monotonicMillis),
             retries,
             Sender(endpointPool, context),
-            RequestLog(EventLog, knownState),
+            requestLog,
         )
     }
 
--- a/gateway/src/main/kotlin/pistachiopass/gateway/WarmUp.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/WarmUp.kt
@@ -147,6 +147,7 @@
         val load = FleetLoad(::monotonicMillis)
         val health = EndpointHealth(::monotonicMillis, discardingLog)
         val admission = admissionOf(knownState, bounds.revokeMillis.toLong(), GracefulShutdown(::monotonicMillis))
+        val requestLog = RequestLog(discardingLog, knownState)
         val context = SenderContext(
             wire,
             SharedEndpoints(knownState, EngineScopes({ WARM_UP_MEMBER }, { emptyList() })),
@@ -154,6 +155,7 @@
             ColdBudget(bounds, { 1 }, clock),
             EndpointRecords(load, health) { _, _ -> },
             Reservations(RefusingOrders, holdMillis = 1, scope),
+            requestLog,
         )
         val retries = RetryBudget(bounds, { 1 }, clock::nowMillis)
         val placement = Placement(load, health, nowMillis = ::monotonicMillis)
@@ -163,7 +165,7 @@
             placement,
             retries,
             Sender(endpointPool, context),
-            RequestLog(discardingLog, knownState),
+            requestLog,
         )
     }
 
--- a/gateway/src/main/kotlin/pistachiopass/gateway/forward/RequestLog.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/forward/RequestLog.kt
@@ -5,11 +5,25 @@
 import pistachiopass.entry.logging.EventLog
 import pistachiopass.entry.logging.field
 import pistachiopass.entry.logging.log
+import pistachiopass.entry.logging.tokenField
+import pistachiopass.gateway.http.ConnectionFailure
+import pistachiopass.gateway.model.EndpointIncarnation
 import pistachiopass.gateway.model.RequestMetadata
 import pistachiopass.gateway.placement.Assignment
 import pistachiopass.gateway.state.KnownState
 import pistachiopass.model.Failure
 
+/** How a response ended that is not complete. */
+internal class BrokenResponse(
+    /** Null if the connection was still open: the endpoint was silent, or what it sent was not a valid response. */
+    val failure: ConnectionFailure?,
+    val hasHead: Boolean,
+    /** Time since the request was sent. */
+    val sentMillis: Long,
+    /** Time since the first event of a stream; null if there was none. */
+    val decodeMillis: Long?,
+)
+
 /** Logs the decisions on requests, with the age of [knownState] where a decision depends on it. */
 internal class RequestLog(private val log: EventLog, private val knownState: KnownState) {
     /** Logs that a request was not admitted, with the version and the age of the routing table. */
@@ -37,6 +51,19 @@
         field("proofAgeMillis", knownState.freshness.ageMillisOrNull() ?: -1),
     )
 
+    /** Logs a response that broke off or did not come, with the shared parts of the prompt. */
+    fun broken(request: ForwardedRequest, endpoint: EndpointIncarnation, response: BrokenResponse) = log.log(
+        Event.ATTEMPT_BROKEN,
+        request.metadata.id,
+        field("endpoint", endpoint.endpoint),
+        field("bornMillis", endpoint.bornMillis),
+        tokenField("connection", response.failure?.name?.lowercase() ?: "open"),
+        field("hasHead", response.hasHead),
+        field("sentMillis", response.sentMillis),
+        field("decodeMillis", response.decodeMillis ?: -1),
+        tokenField("parts", request.metadata.sharedParts.joinToString(".").ifEmpty { "none" }),
+    )
+
     /** Logs a retry, with the failure of the attempt before it. */
     fun retry(request: ForwardedRequest, outcome: AttemptOutcome.Failed) = log.log(
         Event.RETRY,
--- a/gateway/src/main/kotlin/pistachiopass/gateway/forward/ResponseHandler.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/forward/ResponseHandler.kt
@@ -35,10 +35,13 @@
     private val reader = ResponseReader(connection, context.wire, request.metadata.id)
     private val sentNanos = System.nanoTime()
     private var isPrefillEnded = false
+    private var hasHead = false
+    private var firstEventNanos: Long? = null
 
     /** Handles the response and returns the outcome of the attempt. */
     suspend fun run(): AttemptOutcome {
         val head = reader.headOrNull(silenceMillis().takeIf { request.mayRunAgain }) ?: return incompleteOutcome()
+        hasHead = true
         head.metadata.load?.let { context.records.load.recordReportedLoad(incarnation, it) }
         return when {
             head.metadata.isNotExecuted -> refusedOutcome(head.metadata)
@@ -107,12 +110,17 @@
 
     private suspend fun relayStream(head: ResponseHead, relay: StreamRelay): AttemptOutcome {
         request.response.setStreamHead(head.response)
-        if (relay.relay(connection, ::prefillEnded) == StreamEnd.BROKEN) return incompleteOutcome()
+        if (relay.relay(connection, ::eventsReceived) == StreamEnd.BROKEN) return incompleteOutcome()
         context.records.health.onSuccess(incarnation)
         request.response.endStream()
         return AttemptOutcome.Answered
     }
 
+    private fun eventsReceived() {
+        if (firstEventNanos == null) firstEventNanos = System.nanoTime()
+        prefillEnded()
+    }
+
     private fun prefillEnded() {
         if (isPrefillEnded) return
         isPrefillEnded = true
@@ -124,9 +132,20 @@
 
     private fun incompleteOutcome(): AttemptOutcome {
         context.records.health.onFailure(incarnation, INCOMPLETE_WEIGHT)
+        context.log.broken(request, incarnation, brokenResponse())
         return failedOutcome("the endpoint sent no complete response")
     }
 
+    private fun brokenResponse(): BrokenResponse {
+        val nowNanos = System.nanoTime()
+        return BrokenResponse(
+            connection.failure,
+            hasHead,
+            sentMillis = (nowNanos - sentNanos) / NANOS_PER_MILLI,
+            decodeMillis = firstEventNanos?.let { (nowNanos - it) / NANOS_PER_MILLI },
+        )
+    }
+
     private fun failedOutcome(message: String): AttemptOutcome {
         val failure = Failure(
             FailureCode.ENDPOINT_FAILED,
--- a/gateway/src/main/kotlin/pistachiopass/gateway/forward/Sender.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/forward/Sender.kt
@@ -40,6 +40,7 @@
     val cold: ColdBudget,
     val records: EndpointRecords,
     val reservations: Reservations,
+    val log: RequestLog,
 )
 
 /** Makes attempts over pooled connections. */
--- a/gateway/src/main/kotlin/pistachiopass/gateway/http/UpstreamConnection.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/http/UpstreamConnection.kt
@@ -51,7 +51,10 @@
     private var isInformational = false
     private var closesAfterResponse = false
     private var requestWritten: ChannelFuture? = null
-    private var failure: ConnectionFailure? = null
+
+    /** Why the exchange or the connection failed; null if it did not. */
+    var failure: ConnectionFailure? = null
+        private set
 
     /** The server's idle timeout in milliseconds from its `Keep-Alive` header, or null if not stated. */
     var keepAliveMillis: Long? = null
--- a/gateway/src/main/kotlin/pistachiopass/gateway/model/Requests.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/model/Requests.kt
@@ -2,6 +2,7 @@
 package pistachiopass.gateway.model
 
 import pistachiopass.model.EndpointId
+import pistachiopass.model.PromptPartId
 import pistachiopass.model.RequestId
 import pistachiopass.model.WorkspaceId
 
@@ -21,6 +22,8 @@
     val tokenCounts: TokenCounts?,
     /** Id of the last event that the caller received of an interrupted stream; null for a new stream. */
     val lastEventId: String?,
+    /** Parts of the prompt that other requests may share, in the order of the prompt; the last part is left out. */
+    val sharedParts: List<PromptPartId> = emptyList(),
 )
 
 /** What the instance adds to the headers of a request that it forwards. */
