--- a/gateway/src/main/kotlin/pistachiopass/gateway/model/Endpoints.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/model/Endpoints.kt
@@ -1,6 +1,7 @@
 /** Published endpoints. An endpoint that restarts under the same id is another incarnation. */
 package pistachiopass.gateway.model
 
+import io.netty.util.NetUtil
 import pistachiopass.model.DataCentreId
 import pistachiopass.model.EndpointId
 
@@ -12,10 +13,12 @@
     override fun toString(): String = "$host:$port"
 }
 
-/** Returns the address in [text], or null if it is not `host:port` with a port from 1 to 65535. */
+/** Returns the address in [text], or null if it is not a numeric IP address, a colon and a port from 1 to 65535. */
 public fun addressOrNull(text: String): Address? {
+    val host = text.substringBeforeLast(':')
     val port = text.substringAfterLast(':', "").toIntOrNull() ?: return null
-    return if (port in 1..PORT_MAX) Address(text.substringBeforeLast(':'), port) else null
+    val isNumeric = NetUtil.isValidIpV4Address(host) || NetUtil.isValidIpV6Address(host)
+    return if (isNumeric && port in 1..PORT_MAX) Address(host, port) else null
 }
 
 /** An endpoint as it was last published. */
