Take no response for a request's own that does not name it

Report of other operators: an engine repeats an earlier refusal on a kept connection. One that names the earlier request was skipped already. One that names no request was taken for the answer: callers were told 'not run' of a request that the engine was running, and a booking was sent to a second engine. Cause: a response without a request id counted as the own one unless it was a success. Sound engines name the request in each response, so one that does not is skipped now, as those to other requests are. Test: ForwardingTest, four cases of refusals before the response; three failed before (503 where the engine answers, and two engines got the booking).

--- a/gateway/src/main/kotlin/pistachiopass/gateway/forward/ResponseReader.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/forward/ResponseReader.kt
@@ -24,7 +24,7 @@
     private val id: RequestId,
 ) {
     /**
-     * Returns the head of the response and skips responses to other requests. Returns null if the connection breaks or
+     * Returns the head of the response and skips responses that name another request, or none. Returns null if the connection breaks or
      * delivers nothing for [silenceMillis].
      */
     suspend fun headOrNull(silenceMillis: Long?): ResponseHead? {
@@ -55,11 +55,8 @@
         return part is ResponsePart.End
     }
 
-    /** A response without a request id is taken for that of this request unless its status is a success. */
-    private fun ownHeadOrNull(response: HttpResponse): ResponseHead? {
-        val head = ResponseHead(response, wire.readResponse(response.status().code(), response.headers()))
-        val named = head.metadata.requestId
-        val isOwn = if (named == null) !head.isSuccess else named == id
-        return head.takeIf { isOwn }
-    }
+    /** A response that names no request may be a late one to an earlier request on the connection. */
+    private fun ownHeadOrNull(response: HttpResponse): ResponseHead? =
+        ResponseHead(response, wire.readResponse(response.status().code(), response.headers()))
+            .takeIf { it.metadata.requestId == id }
 }
