Continue a stream only with a stream, and end it as whole only where that is certain

Report of other operators: a stream breaks off and the next engine answers with an error. What callers could get here: with an error status the connection was cut, but only since a check on the caller's connection threw. A success that is no stream, or without a body, was appended or ended the stream as if it were whole. Cause: what an attempt may pass on did not depend on whether the caller had events of an earlier one. Change: once a stream has begun, only an event stream continues it; anything else breaks it off. The end of a connection alone ends a stream as whole only after some bytes.

--- a/gateway/src/main/kotlin/pistachiopass/gateway/forward/ResponseHandler.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/forward/ResponseHandler.kt
@@ -43,6 +43,7 @@
         return when {
             head.metadata.isNotExecuted -> refusedOutcome(head.metadata)
             head.metadata.isReencoded || (head.isSuccess && !head.metadata.isStamped) -> incompleteOutcome()
+            request.response.hasBegun && !head.isEventStream -> noContinuationOutcome(head)
             head.isSuccess && request.response.relay != null -> relayStream(head, request.response.relay)
             else -> bufferWhole(head)
         }
@@ -55,7 +56,7 @@
 
     /** Returns the outcome if the endpoint, or a helper that it names, refused the request without running it. */
     private suspend fun refusedOutcome(metadata: ResponseMetadata): AttemptOutcome {
-        withTimeoutOrNull(REFUSAL_BODY_TIMEOUT_MILLIS) { discardBody() }
+        withTimeoutOrNull(REFUSAL_BODY_TIMEOUT_MILLIS) { reader.discardBody(RESPONSE_MAX_BYTES) }
         request.mayBeRunning = false
         val refusingEndpoint = metadata.refusedBy
             ?.let { address -> attempt.assignment.helpers.find { it.published.address == address } }
@@ -71,15 +72,6 @@
         return AttemptOutcome.Failed(refusingEndpoint, failure, hasReachedEndpoint = true)
     }
 
-    private suspend fun discardBody() {
-        val rest = Unpooled.buffer()
-        try {
-            reader.readBody(rest, RESPONSE_MAX_BYTES)
-        } finally {
-            rest.release()
-        }
-    }
-
     private suspend fun bufferWhole(head: ResponseHead): AttemptOutcome {
         val body = Unpooled.buffer()
         return try {
@@ -108,9 +100,15 @@
         }
     }
 
+    /** The caller has events already, so nothing of a response that does not continue them may be passed on. */
+    private fun noContinuationOutcome(head: ResponseHead): AttemptOutcome {
+        if (head.status >= SERVER_ERROR) context.records.health.onFailure(incarnation, ERROR_WEIGHT)
+        return failedOutcome("the endpoint responded with status ${head.status} to the continuation of a stream")
+    }
+
     private suspend fun relayStream(head: ResponseHead, relay: StreamRelay): AttemptOutcome {
         request.response.setStreamHead(head.response)
-        if (relay.relay(connection, ::prefillEnded) == StreamEnd.BROKEN) return incompleteOutcome()
+        if (relay.relay(connection, head.hasStatedEnd, ::prefillEnded) == StreamEnd.BROKEN) return incompleteOutcome()
         context.records.onAnswered(request, incarnation)
         request.response.endStream()
         return AttemptOutcome.Answered
--- a/gateway/src/main/kotlin/pistachiopass/gateway/forward/ResponseReader.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/forward/ResponseReader.kt
@@ -2,8 +2,11 @@
 package pistachiopass.gateway.forward
 
 import io.netty.buffer.ByteBuf
+import io.netty.buffer.Unpooled
+import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpStatusClass
+import io.netty.handler.codec.http.HttpUtil
 import kotlinx.coroutines.withTimeoutOrNull
 import pistachiopass.gateway.WireFormat
 import pistachiopass.gateway.http.ResponsePart
@@ -15,6 +18,13 @@
 internal class ResponseHead(val response: HttpResponse, val metadata: ResponseMetadata) {
     val status: Int get() = response.status().code()
     val isSuccess: Boolean get() = response.status().codeClass() == HttpStatusClass.SUCCESS
+    val isEventStream: Boolean
+        get() = isSuccess &&
+            response.headers().get(HttpHeaderNames.CONTENT_TYPE).orEmpty().startsWith(EVENT_STREAM, ignoreCase = true)
+
+    /** Whether the end of the body is stated by a length or chunks, and not by the end of the connection. */
+    val hasStatedEnd: Boolean
+        get() = HttpUtil.isTransferEncodingChunked(response) || HttpUtil.isContentLengthSet(response)
 }
 
 /** Reads the response to the request [id] from [connection]. */
@@ -24,8 +34,8 @@
     private val id: RequestId,
 ) {
     /**
-     * Returns the head of the response and skips responses that name another request, or none. Returns null if the connection breaks or
-     * delivers nothing for [silenceMillis].
+     * Returns the head of the response and skips responses that name another request, or none. Returns null if the
+     * connection breaks or delivers nothing for [silenceMillis].
      */
     suspend fun headOrNull(silenceMillis: Long?): ResponseHead? {
         while (true) {
@@ -55,8 +65,20 @@
         return part is ResponsePart.End
     }
 
+    /** Reads the rest of the response, up to [maxBytes], so that the connection can be used again. */
+    suspend fun discardBody(maxBytes: Int) {
+        val rest = Unpooled.buffer()
+        try {
+            readBody(rest, maxBytes)
+        } finally {
+            rest.release()
+        }
+    }
+
     /** A response that names no request may be a late one to an earlier request on the connection. */
     private fun ownHeadOrNull(response: HttpResponse): ResponseHead? =
         ResponseHead(response, wire.readResponse(response.status().code(), response.headers()))
             .takeIf { it.metadata.requestId == id }
 }
+
+private const val EVENT_STREAM = "text/event-stream"
