Quarantine no sound part that shares crashes, and show and lift quarantines

Cause: evidence of the cut-off instances was missing, five crashes of the sound part came one after the other, and once it was quarantined it explained the crashes of the other part, which kept that one from being quarantined. Change: a part explains only those on which fewer endpoints ended, and one that is explained is released; a response that had events for 100 ms is no evidence against its parts; and a crash names the parts that followed in its prompt, so that it is not held against an earlier part while a later one is not cleared.

Operators see the quarantined parts with reason and age in the log, at /metrics and /quarantine of the control address, and with pistachioctl quarantine, which also lifts them everywhere.

--- a/coordination/src/main/kotlin/pistachiopass/quarantine/EvidenceTable.kt
+++ b/coordination/src/main/kotlin/pistachiopass/quarantine/EvidenceTable.kt
@@ -16,20 +16,24 @@
     var onNews: () -> Unit = {}
 
     /** Adds [crash] to the evidence against [part]; returns null if it is known already. */
-    fun addOrNull(part: PromptPartId, depth: Int, crash: Crash): PartEvidence? {
+    fun addOrNull(part: PromptPartId, crash: Crash): PartEvidence? {
         val known = parts.getOrPut(part) { PartEvidence(part, nowMillis()) }
-        known.depth = maxOf(known.depth, depth)
         if (!known.add(crash, settings.runsMax)) return null
         known.transmissions = 0
         return known
     }
 
-    /** Quarantines the parts against which there is enough evidence. */
+    /** Quarantines the parts against which there is enough evidence, and releases those that they explain. */
     fun judge() {
-        var next = condemnedOrNull(parts.values, settings, nowMillis())
+        var next = judgement().condemnedOrNull()
         while (next != null) {
             quarantine(next)
-            next = condemnedOrNull(parts.values, settings, nowMillis())
+            next = judgement().condemnedOrNull()
+        }
+        var explained = judgement().explainedOrNull()
+        while (explained != null) {
+            clear(explained, ReleaseReason.EXPLAINED)
+            explained = judgement().explainedOrNull()
         }
         while (parts.size > settings.partsMax) {
             val least = parts.values.minWith(compareBy<PartEvidence> { it.isQuarantined }.thenBy { it.crashes.size })
@@ -37,6 +41,8 @@
         }
     }
 
+    private fun judgement() = Judgement(parts.values, settings, nowMillis())
+
     /** Begins a quarantine of [known], the first one or another in a row. */
     fun quarantine(known: PartEvidence) {
         known.strikes++
--- a/coordination/src/main/kotlin/pistachiopass/quarantine/PartEvidence.kt
+++ b/coordination/src/main/kotlin/pistachiopass/quarantine/PartEvidence.kt
@@ -4,7 +4,14 @@
 import pistachiopass.model.PromptPartId
 
 /** The run [run] ended at [endedMillis] while it had [request], which was sent to it at [sentMillis]. */
-internal class Crash(val run: EndpointRun, val request: RequestHash, val sentMillis: Long, val endedMillis: Long)
+internal class Crash(
+    val run: EndpointRun,
+    val request: RequestHash,
+    val sentMillis: Long,
+    val endedMillis: Long,
+    /** Parts that followed in the prompt of the request. */
+    val laterParts: List<PartHash>,
+)
 
 /** What is known of one part. Confined to one thread. */
 internal class PartEvidence(val part: PromptPartId, var changedMillis: Long) {
@@ -18,9 +25,6 @@
     /** Other runs that ended on requests with the part, of which no more is known. */
     private val otherRuns = LinkedHashSet<EndpointRun>()
 
-    /** Greatest position of the part in a prompt. */
-    var depth = 0
-
     /** Quarantines in a row. */
     var strikes = 0
 
@@ -39,7 +43,6 @@
 
     val isQuarantined: Boolean get() = sinceMillis != null
     val runs: List<EndpointRun> get() = crashes.keys.toList() + otherRuns
-    val requests: Set<RequestHash> get() = crashes.values.mapTo(HashSet()) { it.request }
 
     fun hasEnded(run: EndpointRun): Boolean = run in crashes || run in otherRuns
 
@@ -84,32 +87,3 @@
     }
     return count
 }
-
-/**
- * Returns the part against which there is enough evidence at [nowMillis], or null; the most specific one comes first.
- *
- * Crashes that a quarantined part explains do not count against others. Nor do those of requests with a later part that
- * is suspect itself: that part is the more specific one.
- */
-internal fun condemnedOrNull(
-    parts: Collection<PartEvidence>,
-    settings: QuarantineSettings,
-    nowMillis: Long,
-): PartEvidence? {
-    val quarantined = parts.filter { it.isQuarantined }
-    val countedUntilMillis = if (quarantined.isEmpty()) nowMillis else nowMillis - settings.settleMillis
-    val isCondemned = { suspect: PartEvidence ->
-        val moreSpecific = parts.filter { it.depth > suspect.depth }
-            .map { it.requests }
-            .filter { it.size >= settings.requestsMin }
-        val unexplained = suspect.crashes.values
-            .filter { it.endedMillis <= countedUntilMillis }
-            .filter { crash -> quarantined.none { it.hasEnded(crash.run) } }
-            .filter { crash -> moreSpecific.none { crash.request in it } }
-        unexplained.distinctBy { it.request }.size >= settings.requestsMin &&
-            unexplained.inSequence() >= settings.runsMin
-    }
-    return parts.filter { !it.isQuarantined && it.crashes.size >= settings.runsMin }
-        .filter(isCondemned)
-        .maxWithOrNull(compareBy<PartEvidence> { it.depth }.thenBy { it.crashes.size })
-}
--- a/coordination/src/main/kotlin/pistachiopass/quarantine/PartQuarantine.kt
+++ b/coordination/src/main/kotlin/pistachiopass/quarantine/PartQuarantine.kt
@@ -55,6 +55,10 @@
     internal val statements = PartStatements(table.parts, nowMillis, listener, settings)
     internal val evidence: Collection<PartEvidence> get() = table.parts.values
 
+    /** Requests that this instance has refused since its start. */
+    public var refused: Long = 0
+        private set
+
     /** Called when there is something to tell other instances. */
     public var onNews: () -> Unit by table::onNews
 
@@ -64,13 +68,14 @@
 
     /** Records an attempt that broke off, and quarantines a part if that is evidence enough. */
     public fun onBroken(attempt: BrokenAttempt) {
-        if (attempt.decodeMillis != null && attempt.decodeMillis >= settings.onsetMillis) {
-            onAnswered(attempt.parts)
-            return
+        val decodeMillis = attempt.decodeMillis ?: 0
+        if (decodeMillis >= settings.survivalMillis) onAnswered(attempt.parts)
+        if (decodeMillis >= settings.onsetMillis) return
+        val parts = attempt.parts.distinct()
+        val changed = parts.mapIndexedNotNull { index, part ->
+            val later = parts.drop(index + 1).take(LATER_PARTS_MAX).map(::partHashOf)
+            table.addOrNull(part, Crash(attempt.run, attempt.request, attempt.sentMillis, nowMillis(), later))
         }
-        val crash = Crash(attempt.run, attempt.request, attempt.sentMillis, nowMillis())
-        val changed =
-            attempt.parts.distinct().mapIndexedNotNull { depth, part -> table.addOrNull(part, depth, crash) }
         changed.filter { it.isQuarantined && !term.isBlocking(it) }.forEach(table::quarantine)
         table.judge()
         if (changed.isNotEmpty()) onNews()
@@ -98,6 +103,7 @@
         return when {
             known.isEmpty() -> PartCheck.Allowed
             refusing != null -> {
+                refused++
                 refusing.refused++
                 refusing.lastRefusedMillis = nowMillis()
                 PartCheck.Refused(refusing.part)
@@ -128,3 +134,6 @@
     private fun mayTry(known: PartEvidence): Boolean =
         nowMillis() >= known.trialUntilMillis && random.nextInt(maxOf(1, instances())) == 0
 }
+
+/** Following parts that are remembered of a request; prompts share few parts with others. */
+private const val LATER_PARTS_MAX: Int = 3
--- a/coordination/src/main/kotlin/pistachiopass/quarantine/PartStatements.kt
+++ b/coordination/src/main/kotlin/pistachiopass/quarantine/PartStatements.kt
@@ -25,10 +25,9 @@
         return PartStatement(
             known.part,
             known.epoch,
-            known.depth,
             known.strikes,
             ageMillis = now - (known.sinceMillis ?: known.changedMillis),
-            stated.map { RunEnd(it.run, it.request, now - it.sentMillis, now - it.endedMillis) },
+            stated.map { RunEnd(it.run, it.request, now - it.sentMillis, now - it.endedMillis, it.laterParts) },
             others.takeLast(settings.statedRunsMax),
         )
     }
@@ -43,7 +42,6 @@
             return
         }
         if (statement.epoch > known.epoch) beginEpoch(known, statement)
-        known.depth = maxOf(known.depth, statement.depth)
         known.addRuns(statement.otherRuns, settings.runsMax)
         val isNew = mergeCrashes(known, statement.ends, now)
         if (mergeQuarantine(known, statement, now - statement.ageMillis) || isNew) known.transmissions = 0
@@ -58,7 +56,7 @@
 
     private fun mergeCrashes(known: PartEvidence, ends: List<RunEnd>, now: Long): Boolean =
         ends.filter { it.endedAgeMillis in 0..settings.evidenceMillis && it.sentAgeMillis >= it.endedAgeMillis }
-            .map { Crash(it.run, it.request, now - it.sentAgeMillis, now - it.endedAgeMillis) }
+            .map { Crash(it.run, it.request, now - it.sentAgeMillis, now - it.endedAgeMillis, it.laterParts) }
             .count { known.add(it, settings.runsMax) } > 0
 
     private fun mergeQuarantine(known: PartEvidence, statement: PartStatement, sinceMillis: Long): Boolean {
--- a/coordination/src/main/kotlin/pistachiopass/quarantine/QuarantineMessages.kt
+++ b/coordination/src/main/kotlin/pistachiopass/quarantine/QuarantineMessages.kt
@@ -25,6 +25,14 @@
 /** Returns the hash of [request]. */
 public fun requestHashOf(request: RequestId): RequestHash = RequestHash(request.value.hashCode())
 
+/** One prompt part, as a hash that takes few bytes in messages. */
+@Serializable
+@JvmInline
+public value class PartHash(public val hash: Int)
+
+/** Returns the hash of [part]. */
+internal fun partHashOf(part: PromptPartId): PartHash = PartHash(part.value.hashCode())
+
 /** The run [run] ended [endedAgeMillis] ago, while it had [request], which was sent [sentAgeMillis] ago. */
 @Serializable
 public data class RunEnd(
@@ -32,6 +40,8 @@
     @SerialName("q") val request: RequestHash,
     @SerialName("s") val sentAgeMillis: Long,
     @SerialName("e") val endedAgeMillis: Long,
+    /** Parts that followed in the prompt of the request. */
+    @SerialName("l") val laterParts: List<PartHash> = emptyList(),
 )
 
 /**
@@ -45,8 +55,6 @@
 public data class PartStatement(
     @SerialName("p") val part: PromptPartId,
     @SerialName("n") val epoch: Int,
-    /** Greatest position of the part in a prompt. */
-    @SerialName("d") val depth: Int,
     @SerialName("k") val strikes: Int,
     @SerialName("a") val ageMillis: Long,
     @SerialName("e") val ends: List<RunEnd>,
@@ -63,8 +71,9 @@
 
 /** Returns about how many bytes this statement takes in a message. */
 internal val PartStatement.encodedBytes: Int
-    get() = STATEMENT_BYTES + part.value.length + ends.size * RUN_END_BYTES + otherRuns.size * RUN_BYTES
+    get() = STATEMENT_BYTES + part.value.length +
+        ends.sumOf { RUN_END_BYTES + it.laterParts.size * HASH_BYTES } + otherRuns.size * HASH_BYTES
 
 private const val STATEMENT_BYTES: Int = 34
-private const val RUN_END_BYTES: Int = 32
-private const val RUN_BYTES: Int = 5
+private const val RUN_END_BYTES: Int = 36
+private const val HASH_BYTES: Int = 5
--- a/coordination/src/main/kotlin/pistachiopass/quarantine/QuarantineSettings.kt
+++ b/coordination/src/main/kotlin/pistachiopass/quarantine/QuarantineSettings.kt
@@ -8,7 +8,9 @@
     /** Requests that have to be among these; the attempts of one request share all of its parts. */
     public val requestsMin: Int = 2,
     /** Time since the first event of a response after which the end of its run is not attributed to its parts. */
-    public val onsetMillis: Long = 500,
+    public val onsetMillis: Long = 100,
+    /** Time since the first event of a response after which its run has survived its parts. */
+    public val survivalMillis: Long = 500,
     /** Time for which a run that ended is evidence. */
     public val evidenceMillis: Long = 300_000,
     /** Duration of the first quarantine of a part; each renewal doubles it. */
--- a/coordination/src/main/kotlin/pistachiopass/quarantine/QuarantinedPart.kt
+++ b/coordination/src/main/kotlin/pistachiopass/quarantine/QuarantinedPart.kt
@@ -1,10 +1,12 @@
 /** What operators see of a quarantine, and how it ends. */
 package pistachiopass.quarantine
 
+import kotlinx.serialization.Serializable
 import pistachiopass.model.PromptPartId
 
 /** A quarantined part. */
-public class QuarantinedPart(
+@Serializable
+public data class QuarantinedPart(
     public val part: PromptPartId,
     public val ageMillis: Long,
     /** Time for which all requests with the part are refused; 0 once they are tried again. */
@@ -28,6 +30,9 @@
     /** Another instance ended it. */
     PEER,
 
+    /** Another part, which more endpoints ended on, explains what was held against it. */
+    EXPLAINED,
+
     /** It expired, and no request with the part has come since. */
     UNUSED,
 }
@@ -40,3 +45,6 @@
     /** Called when the quarantine of [part] ends after [ageMillis]. */
     public fun onReleased(part: PromptPartId, reason: ReleaseReason, ageMillis: Long)
 }
+
+/** Path at the control address of an instance under which its quarantined parts are read, and lifted by their ids. */
+public const val QUARANTINE_PATH: String = "/quarantine"
--- a/ctl/src/main/kotlin/pistachiopass/ctl/StatusClient.kt
+++ b/ctl/src/main/kotlin/pistachiopass/ctl/StatusClient.kt
@@ -1,6 +1,10 @@
 /** Asks instances for their status; one that does not answer does not hold up the others. */
 package pistachiopass.ctl
 
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.mapBoth
 import io.ktor.client.HttpClient
 import io.ktor.client.engine.cio.CIO
 import io.ktor.client.request.get
@@ -30,21 +34,31 @@
     address: String,
     timeoutMillis: Long,
 ): StatusResult =
+    readWithin(timeoutMillis) {
+        val response = get("http://$address$STATUS_PATH")
+        if (response.status.isSuccess()) {
+            Ok(lenientJson.decodeFromString<InstanceStatus>(response.bodyAsText()))
+        } else {
+            Err("answered ${response.status}")
+        }
+    }.mapBoth(
+        success = { StatusResult(address, status = it) },
+        failure = { StatusResult(address, failure = it) },
+    )
+
+/** Returns what [read] does, or why an instance gave no proper answer within [timeoutMillis]. */
+internal suspend fun <T> readWithin(
+    timeoutMillis: Long,
+    read: suspend () -> Result<T, String>,
+): Result<T, String> =
     try {
-        withTimeoutOrNull(timeoutMillis) { askUnbounded(address) }
-            ?: StatusResult(address, failure = "no answer within $timeoutMillis ms")
+        withTimeoutOrNull(timeoutMillis) { read() } ?: Err("no answer within $timeoutMillis ms")
     } catch (e: IOException) {
-        StatusResult(address, failure = "cannot be reached: ${e.message}")
+        Err("cannot be reached: ${e.message}")
     } catch (_: UnresolvedAddressException) {
-        StatusResult(address, failure = "cannot be reached: the host name is unknown")
+        Err("cannot be reached: the host name is unknown")
     } catch (e: SerializationException) {
-        StatusResult(address, failure = "answered no status: ${e.message.orEmpty().lineSequence().first()}")
+        Err("answered nothing that can be read: ${e.message.orEmpty().lineSequence().first()}")
     }
 
-private suspend fun HttpClient.askUnbounded(address: String): StatusResult {
-    val response = get("http://$address$STATUS_PATH")
-    if (!response.status.isSuccess()) return StatusResult(address, failure = "answered ${response.status}")
-    return StatusResult(address, status = lenientJson.decodeFromString<InstanceStatus>(response.bodyAsText()))
-}
-
-private val lenientJson = Json { ignoreUnknownKeys = true }
+internal val lenientJson = Json { ignoreUnknownKeys = true }
--- a/ctl/src/test/kotlin/pistachiopass/ctl/CommandLineTest.kt
+++ b/ctl/src/test/kotlin/pistachiopass/ctl/CommandLineTest.kt
@@ -51,6 +51,30 @@
         assertContains(run.output, "\"place\": \"routes[1].pool\"")
     }
 
+    @Test
+    fun `quarantine shows and lifts the parts of an instance`() {
+        val server = HttpServer.create(InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0)
+        var parts = """[{"part":"p1","ageMillis":9,"remainingMillis":5,"strikes":1,"runs":4,"refused":7}]"""
+        server.createContext("/quarantine") { exchange ->
+            val isKnown = exchange.requestMethod == "GET" || exchange.requestURI.path == "/quarantine/p1"
+            if (exchange.requestMethod == "DELETE" && isKnown) parts = "[]"
+            exchange.sendResponseHeaders(if (isKnown) 200 else 404, parts.length.toLong())
+            exchange.responseBody.use { it.write(parts.encodeToByteArray()) }
+        }
+        server.start()
+        val command = listOf("quarantine", "--address", "127.0.0.1:${server.address.port}")
+        try {
+            assertContains(run(command).output, "part p1: 4 endpoints ended, quarantined 9 ms ago")
+            assertContains(run(command + "--json").output, "\"refused\": 7")
+            val unknown = run(command + listOf("--lift", "p2"))
+            assertEquals(EXIT_PROBLEMS, unknown.exitCode)
+            assertContains(unknown.errors, "part p2 is not quarantined")
+            assertContains(run(command + listOf("--lift", "p1")).output, "no part is quarantined")
+        } finally {
+            server.stop(0)
+        }
+    }
+
     @Test
     fun `status shows the instances that answer beside those that do not`() {
         val loopback = InetAddress.getLoopbackAddress()
@@ -111,6 +135,8 @@
                 ),
                 CommandCase(explain("--path", "/jobs", "--data-centre", "x"), EXIT_USAGE, errors = "--data-centre x"),
                 CommandCase(explain("--path", "/", "--prompt-tokens", "-1"), EXIT_USAGE, errors = "--prompt-tokens -1"),
+                CommandCase(listOf("quarantine", "--address", "x"), EXIT_USAGE, errors = "--address x: expected HOST"),
+                CommandCase(listOf("quarantine"), EXIT_USAGE, errors = "address"),
                 CommandCase(listOf("status", "--address", "nowhere"), EXIT_USAGE, errors = "--address nowhere"),
             )
     }
--- a/gateway/src/main/kotlin/pistachiopass/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/Gateway.kt
@@ -19,6 +19,7 @@
 import pistachiopass.entry.logging.EventLog
 import pistachiopass.entry.logging.field
 import pistachiopass.entry.logging.log
+import pistachiopass.gateway.control.ControlHandler
 import pistachiopass.gateway.forward.BALANCER_DRAIN_MILLIS
 import pistachiopass.gateway.forward.ColdBudget
 import pistachiopass.gateway.forward.EndpointRecords
@@ -99,9 +100,9 @@
     private val connections = CallerConnections()
     private val shutdown = GracefulShutdown(::monotonicMillis)
     private val wire = adapter.wire
-    private val control = addressOf(settings.controlAddress)
+    private val controlAddress = addressOf(settings.controlAddress)
     private val membership = GossipMembership(
-        Member(MemberHost(control.host), settings.dataCentre, incarnation = System.currentTimeMillis()),
+        Member(MemberHost(controlAddress.host), settings.dataCentre, incarnation = System.currentTimeMillis()),
         settings.seeds.mapNotNull { addressOrNull(it)?.host }.map(::MemberHost),
         clock::nowMillis,
     )
@@ -110,8 +111,8 @@
     private val admission = admissionOf(knownState, settings.bounds.revokeMillis.toLong(), shutdown, parts)
     private val limits = SharedLimits(clock::nowMillis, membership::instances)
     private val states = PeerStateClient(HttpClient(UpstreamPool(eventLoop, clock)))
-    private val peers =
-        Peers(control, settings.peerPort, PeerContext(membership, state, watch, states, load, quarantine), clock, scope)
+    private val peerContext = PeerContext(membership, state, watch, states, load, quarantine)
+    private val peers = Peers(controlAddress, settings.peerPort, peerContext, clock, scope)
     private val requestLog = RequestLog(EventLog, knownState)
     private val forwarder = forwarder(adapter)
     private var isStopping = false
@@ -124,11 +125,12 @@
         val callers = CallerContext(scope, forwarder, ::callerLimits, connections)
         val readiness = ReadinessHandler(wire.readyPath, ::isReady)
         val probes = CallerContext(scope, readiness, { DEFAULT_LIMITS }, CallerConnections())
-        val readers = CallerContext(scope, PeerStateHandler(state), { DEFAULT_LIMITS }, CallerConnections())
+        val control = ControlHandler(quarantine, PeerStateHandler(state))
+        val readers = CallerContext(scope, control, { DEFAULT_LIMITS }, CallerConnections())
         listeners = listOf(
             listen(group, addressOf(settings.callerAddress)) { serveCallers(it, callers) },
             listen(group, addressOf(settings.readyAddress)) { serveCallers(it, probes) },
-            listen(group, control) { serveCallers(it, readers) },
+            listen(group, controlAddress) { serveCallers(it, readers) },
         )
         peers.start(eventLoop)
         scope.launch { watch.run() }
--- /dev/null
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/control/ControlHandler.kt
@@ -0,0 +1,51 @@
+/** Serves the control address: the published state for other instances, quarantine and metrics for operators. */
+package pistachiopass.gateway.control
+
+import io.netty.buffer.Unpooled
+import io.netty.handler.codec.http.DefaultHttpHeaders
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpResponseStatus
+import kotlinx.serialization.builtins.ListSerializer
+import kotlinx.serialization.json.Json
+import pistachiopass.gateway.http.CallerExchange
+import pistachiopass.gateway.http.CallerHandler
+import pistachiopass.model.PromptPartId
+import pistachiopass.quarantine.PartQuarantine
+import pistachiopass.quarantine.QUARANTINE_PATH
+import pistachiopass.quarantine.QuarantinedPart
+
+/** Responds for operators, and passes all other requests to [peers]. */
+internal class ControlHandler(private val quarantine: PartQuarantine, private val peers: CallerHandler) :
+    CallerHandler {
+    private val metrics = QuarantineMetrics(quarantine)
+
+    override suspend fun serve(exchange: CallerExchange) {
+        val path = exchange.request.uri().substringBefore('?')
+        val method = exchange.request.method()
+        when {
+            path == METRICS_PATH && method == HttpMethod.GET ->
+                exchange.respond(HttpResponseStatus.OK, METRICS_TYPE, metrics.scrape())
+            path == QUARANTINE_PATH && method == HttpMethod.GET ->
+                exchange.respond(HttpResponseStatus.OK, JSON_TYPE, quarantinedJson())
+            path.startsWith("$QUARANTINE_PATH/") && method == HttpMethod.DELETE -> {
+                val isLifted = quarantine.lift(PromptPartId(path.removePrefix("$QUARANTINE_PATH/")))
+                val status = if (isLifted) HttpResponseStatus.OK else HttpResponseStatus.NOT_FOUND
+                exchange.respond(status, JSON_TYPE, quarantinedJson())
+            }
+            else -> peers.serve(exchange)
+        }
+    }
+
+    private fun quarantinedJson(): String =
+        Json.encodeToString(ListSerializer(QuarantinedPart.serializer()), quarantine.quarantined())
+
+    private fun CallerExchange.respond(status: HttpResponseStatus, type: String, body: String) {
+        val headers = DefaultHttpHeaders().set(HttpHeaderNames.CONTENT_TYPE, type)
+        respond(status.code(), headers, Unpooled.copiedBuffer(body, Charsets.UTF_8))
+    }
+}
+
+private const val METRICS_PATH = "/metrics"
+private const val METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+private const val JSON_TYPE = "application/json"
