Clear a part only by a success, and remember the reason of a long quarantine

Found on reading the diff: a 4xx response counted as an answer that clears the parts of its prompt, although the engine may not have run it; the crashes behind a quarantine were forgotten after five minutes while it may last 16; and the part in the path of a lift was not decoded. Test: PartQuarantineTest on the reason; the others by reading.

--- a/coordination/src/main/kotlin/pistachiopass/quarantine/EvidenceTable.kt
+++ b/coordination/src/main/kotlin/pistachiopass/quarantine/EvidenceTable.kt
@@ -68,9 +68,11 @@
             listener.onReleased(it.part, ReleaseReason.UNUSED, term.ageMillis(it))
             parts.remove(it.part)
         }
-        parts.values.removeIf { known ->
+        val others = parts.values.filterNot { it.isQuarantined }
+        others.forEach { known ->
             known.crashes.values.removeIf { now - it.endedMillis > settings.evidenceMillis }
-            !known.isQuarantined && known.crashes.isEmpty() && now - known.changedMillis > settings.clearedMillis
+            val isOutdated = known.crashes.isEmpty() && now - known.changedMillis > settings.clearedMillis
+            if (isOutdated) parts.remove(known.part)
         }
         judge()
     }
--- a/coordination/src/test/kotlin/pistachiopass/quarantine/PartQuarantineTest.kt
+++ b/coordination/src/test/kotlin/pistachiopass/quarantine/PartQuarantineTest.kt
@@ -143,6 +143,8 @@
         listOf(60_000L, 120_000L, 240_000L, 480_000L, 960_000L, 960_000L).forEach { durationMillis ->
             assertEquals(durationMillis, quarantine.quarantined().single().remainingMillis)
             instance.nowMillis += durationMillis - 1
+            quarantine.expire()
+            assertTrue(quarantine.quarantined().single().runs >= 4, "the reason of the quarantine is remembered")
             assertIs<PartCheck.Refused>(quarantine.check(listOf(B, A)))
             instance.nowMillis += 1
             assertEquals(PartCheck.Trial(A), quarantine.check(listOf(B, A)))
--- a/gateway/src/main/kotlin/pistachiopass/gateway/control/ControlHandler.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/control/ControlHandler.kt
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.QueryStringDecoder
 import kotlinx.serialization.builtins.ListSerializer
 import kotlinx.serialization.json.Json
 import pistachiopass.gateway.http.CallerExchange
@@ -21,7 +22,7 @@
     private val metrics = QuarantineMetrics(quarantine)
 
     override suspend fun serve(exchange: CallerExchange) {
-        val path = exchange.request.uri().substringBefore('?')
+        val path = QueryStringDecoder(exchange.request.uri()).path()
         val method = exchange.request.method()
         when {
             path == METRICS_PATH && method == HttpMethod.GET ->
--- a/gateway/src/main/kotlin/pistachiopass/gateway/forward/ResponseHandler.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/forward/ResponseHandler.kt
@@ -84,10 +84,10 @@
     private fun deliverOrHold(head: ResponseHead, body: ByteBuf): AttemptOutcome {
         prefillEnded()
         val isFailure = head.status >= SERVER_ERROR
-        if (isFailure) {
-            context.records.health.onFailure(incarnation, ERROR_WEIGHT)
-        } else {
-            context.records.onAnswered(request, incarnation)
+        when {
+            isFailure -> context.records.health.onFailure(incarnation, ERROR_WEIGHT)
+            head.isSuccess -> context.records.onAnswered(request, incarnation)
+            else -> context.records.health.onSuccess(incarnation)
         }
         return if (isFailure && request.mayRunAgain) {
             request.response.holdError(
--- a/gateway/src/main/kotlin/pistachiopass/gateway/forward/Sender.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/forward/Sender.kt
@@ -38,7 +38,7 @@
     private val log: RequestLog,
     val estimates: EstimateSink,
 ) {
-    /** Records that [endpoint] answered [request] in full and without a server error. */
+    /** Records that [endpoint] answered [request] in full and with success. */
     fun onAnswered(request: ForwardedRequest, endpoint: EndpointIncarnation) {
         health.onSuccess(endpoint)
         parts.onAnswered(request.metadata)
