Take no connection that is reset as soon as it is used for evidence against a part

Cause, from attempt-broken: a data centre was cut off with resets at 33.5 s, and four attempts on idle connections to its engines were reset 1 to 5 ms after they were sent, one after the other. Change: without a response head, an attempt that lasted less than 50 ms is no evidence.

--- a/coordination/src/main/kotlin/pistachiopass/quarantine/PartQuarantine.kt
+++ b/coordination/src/main/kotlin/pistachiopass/quarantine/PartQuarantine.kt
@@ -27,6 +27,8 @@
     /** Parts of the prompt that other requests may share, in the order of the prompt. */
     public val parts: List<PromptPartId>,
     public val sentMillis: Long,
+    /** Whether the head of the response was received. */
+    public val hasHead: Boolean,
     /** Time since the first event of the response; null if there was none. */
     public val decodeMillis: Long?,
 )
@@ -70,7 +72,8 @@
     public fun onBroken(attempt: BrokenAttempt) {
         val decodeMillis = attempt.decodeMillis ?: 0
         if (decodeMillis >= settings.survivalMillis) onAnswered(attempt.parts)
-        if (decodeMillis >= settings.onsetMillis) return
+        val isStale = !attempt.hasHead && nowMillis() - attempt.sentMillis < settings.staleMillis
+        if (decodeMillis >= settings.onsetMillis || isStale) return
         val parts = attempt.parts.distinct()
         val changed = parts.mapIndexedNotNull { index, part ->
             val later = parts.drop(index + 1).take(LATER_PARTS_MAX).map(::partHashOf)
--- a/coordination/src/main/kotlin/pistachiopass/quarantine/QuarantineSettings.kt
+++ b/coordination/src/main/kotlin/pistachiopass/quarantine/QuarantineSettings.kt
@@ -9,6 +9,11 @@
     public val requestsMin: Int = 2,
     /** Time since the first event of a response after which the end of its run is not attributed to its parts. */
     public val onsetMillis: Long = 100,
+    /**
+     * Duration of an attempt without a response head up to which its connection is taken to have been broken before, as
+     * by a link that resets connections.
+     */
+    public val staleMillis: Long = 50,
     /** Time since the first event of a response after which its run has survived its parts. */
     public val survivalMillis: Long = 500,
     /** Time for which a run that ended is evidence. */
--- a/coordination/src/test/kotlin/pistachiopass/quarantine/PartQuarantineTest.kt
+++ b/coordination/src/test/kotlin/pistachiopass/quarantine/PartQuarantineTest.kt
@@ -35,27 +35,29 @@
 
     fun parts(): List<PromptPartId> = quarantine.quarantined().map { it.part }
 
-    /** An attempt of [request] with [parts] that takes [tookMillis], after which its endpoint ends. */
+    /** An attempt of [request] with [parts] that breaks off as [ending] says, since [run] ends. */
     fun crash(
         request: String,
         parts: List<PromptPartId>,
-        tookMillis: Long = 100,
-        decodeMillis: Long? = null,
+        ending: Ending = Ending(),
         run: String = "run-${runs++}",
     ) {
-        nowMillis += tookMillis
+        nowMillis += ending.tookMillis
         quarantine.onBroken(
             BrokenAttempt(
                 endpointRunOf(EndpointId(run), 1),
                 requestHashOf(RequestId(request)),
                 parts,
-                nowMillis - tookMillis,
-                decodeMillis,
+                nowMillis - ending.tookMillis,
+                ending.hasHead,
+                ending.decodeMillis,
             ),
         )
     }
 }
 
+private class Ending(val tookMillis: Long = 100, val hasHead: Boolean = true, val decodeMillis: Long? = null)
+
 private class EvidenceCase(
     val name: String,
     val expected: List<PromptPartId>,
@@ -83,11 +85,17 @@
             nowMillis += 1_000
             repeat(9) {
                 nowMillis -= 1_000
-                crash("r-$it", listOf(A), tookMillis = 1_000)
+                crash("r-$it", listOf(A), Ending(tookMillis = 1_000))
             }
         },
+        EvidenceCase("connections that are reset as soon as they are used", emptyList()) {
+            repeat(9) { crash("r-$it", listOf(A), Ending(tookMillis = 5, hasHead = false)) }
+        },
+        EvidenceCase("runs that end before the head of the response", listOf(A)) {
+            repeat(4) { crash("r-$it", listOf(A), Ending(hasHead = false)) }
+        },
         EvidenceCase("runs that end late in an answer", emptyList()) {
-            repeat(9) { crash("r-$it", listOf(A), decodeMillis = 100) }
+            repeat(9) { crash("r-$it", listOf(A), Ending(decodeMillis = 100)) }
         },
         EvidenceCase("the later of two parts that occur together", listOf(B)) {
             repeat(8) { crash("r-$it", listOf(A, B)) }
--- a/coordination/src/test/kotlin/pistachiopass/quarantine/QuarantineSimulation.kt
+++ b/coordination/src/test/kotlin/pistachiopass/quarantine/QuarantineSimulation.kt
@@ -183,7 +183,14 @@
             val decodeMillis = attempt.firstEventMillis?.let { network.nowMillis - it }
             val request = attempt.request
             attempt.process.quarantine.onBroken(
-                BrokenAttempt(run, requestHashOf(request.id), request.parts, attempt.sentMillis, decodeMillis),
+                BrokenAttempt(
+                    run,
+                    requestHashOf(request.id),
+                    request.parts,
+                    attempt.sentMillis,
+                    hasHead = decodeMillis != null || request.isCrashing,
+                    decodeMillis,
+                ),
             )
             attempt(request, attempt.process)
         }
--- a/gateway/src/main/kotlin/pistachiopass/gateway/forward/PartAdmission.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/forward/PartAdmission.kt
@@ -55,6 +55,7 @@
                 requestHashOf(metadata.id),
                 parts,
                 nowMillis() - response.sentMillis,
+                response.hasHead,
                 response.decodeMillis,
             ),
         )
