Round the age of passed-on state so that it never looks younger

Instances that subscribe to each other count elapsed time and age in whole milliseconds, so a state could get up to 2 ms younger at each hop, was taken for confirmed again and passed back at once, without end. Beside the bytes, the state looked current while the store was silent; removed keys could have been accepted for longer than allowed. Change: 2 ms are taken off.

--- a/coordination/src/main/kotlin/pistachiopass/published/FeedSubscriptions.kt
+++ b/coordination/src/main/kotlin/pistachiopass/published/FeedSubscriptions.kt
@@ -38,7 +38,7 @@
     public fun confirmedMillisOrNull(source: S, update: FeedUpdate): Long? {
         val subscription = subscriptions[update.nonce]?.takeIf { it.source == source } ?: return null
         sources[source]?.answeredMillis = nowMillis()
-        return subscription.sentMillis + update.elapsedMillis - update.ageMillis
+        return subscription.sentMillis + update.elapsedMillis - update.ageMillis - ROUNDING_MILLIS
     }
 
     private fun isDue(source: S): Boolean {
@@ -56,6 +56,8 @@
     }
 }
 
+/** Greatest error of the elapsed time and the age together, each a difference of whole milliseconds. */
+private const val ROUNDING_MILLIS: Long = 2
 private const val RENEWAL_MILLIS: Long = 1_000
 
 /** Time after which a subscription without any update is sent again; a datagram takes a few milliseconds. */
