Pass on no promise that an endpoint did not make

The response of an endpoint was passed on with its status whatever it stated; errors from 500 on were kept back for a retry, and delivered after all if none succeeded.

The head of each response is now judged before its body is read. A 408, 429 or 503 without the statement that the request was not executed is no answer: the attempt may have run the request, and the caller gets the response of a retry, where the route allows one, or a 502 without the stamp. A response with that statement and a status below 400 contradicts itself; it was taken for a refusal and retried, and now counts as an attempt that may have run.

--- a/entry/src/main/kotlin/pistachiopass/entry/logging/Event.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/logging/Event.kt
@@ -71,6 +71,11 @@
         Level.INFO,
         "Bytes that belong to no response arrived on a connection to a server; which ones is given.",
     ),
+    REFUSAL_UNCONFIRMED(
+        number = 3009,
+        Level.INFO,
+        "An endpoint refused a request without stating that it has not run it; its response is not passed on.",
+    ),
     REQUEST_FINISHED(number = 3010, Level.INFO, "A request was answered in full."),
     REQUEST_FAILED(number = 3011, Level.WARN, "A request failed; code and verdict are given."),
     ENDPOINT_COLD(number = 3020, Level.WARN, "An endpoint is in a cold start and gets its cold budget only."),
--- a/gateway/src/main/kotlin/pistachiopass/gateway/forward/RequestLog.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/forward/RequestLog.kt
@@ -74,6 +74,15 @@
         tokenField("content", request.metadata.content.part.value),
     )
 
+    /** Logs that [head] of [endpoint] was not passed on, as its status would promise that [request] was not run. */
+    fun unconfirmedRefusal(request: ForwardedRequest, endpoint: EndpointIncarnation, head: ResponseHead) = log.log(
+        Event.REFUSAL_UNCONFIRMED,
+        request.metadata.id,
+        field("endpoint", endpoint.endpoint),
+        field("status", head.status),
+        field("isStamped", head.metadata.isStamped),
+    )
+
     /** Logs that [head] of [endpoint] was skipped, as it does not name [request]. */
     fun skipped(request: ForwardedRequest, endpoint: EndpointIncarnation, head: ResponseHead, exchanges: Int) = log.log(
         Event.RESPONSE_SKIPPED,
--- a/gateway/src/main/kotlin/pistachiopass/gateway/forward/ResponseHandler.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/forward/ResponseHandler.kt
@@ -4,7 +4,6 @@
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.ByteBufUtil
 import io.netty.buffer.Unpooled
-import kotlinx.coroutines.withTimeoutOrNull
 import pistachiopass.gateway.http.UpstreamConnection
 import pistachiopass.gateway.model.EndpointIncarnation
 import pistachiopass.gateway.model.ResponseMetadata
@@ -54,8 +53,10 @@
         request.response.source = ResponseSource(incarnation.endpoint, connection.exchanges)
         head.metadata.load?.let { context.records.load.recordReportedLoad(incarnation, it) }
         return when {
-            head.metadata.isNotExecuted -> refusedOutcome(head.metadata)
-            head.metadata.isReencoded || (head.isSuccess && !head.metadata.isStamped) -> incompleteOutcome()
+            head.isRefusal -> refusedOutcome(head.metadata)
+            head.contradictsItself || head.metadata.isReencoded || (head.isSuccess && !head.metadata.isStamped) ->
+                incompleteOutcome()
+            head.isUnconfirmedRefusal -> unconfirmedRefusalOutcome(head)
             request.response.hasBegun && !head.isEventStream -> noContinuationOutcome(head)
             head.isSuccess && request.response.relay != null -> relayStream(head, request.response.relay)
             else -> bufferWhole(head)
@@ -64,7 +65,7 @@
 
     /** Returns the outcome if the endpoint, or a helper that it names, refused the request without running it. */
     private suspend fun refusedOutcome(metadata: ResponseMetadata): AttemptOutcome {
-        withTimeoutOrNull(REFUSAL_BODY_TIMEOUT_MILLIS) { reader.discardBody(RESPONSE_MAX_BYTES) }
+        reader.discardBody(RESPONSE_MAX_BYTES)
         request.mayBeRunning = false
         val refusingEndpoint = metadata.refusedBy
             ?.let { address -> attempt.assignment.helpers.find { it.published.address == address } }
@@ -80,6 +81,16 @@
         return AttemptOutcome.Failed(refusingEndpoint, failure, hasReachedEndpoint = true)
     }
 
+    /**
+     * Returns the outcome if the endpoint responded with a status that callers take as a promise, without stating that
+     * it has not run the request. The caller must not get that status, nor the stamp with another one.
+     */
+    private suspend fun unconfirmedRefusalOutcome(head: ResponseHead): AttemptOutcome {
+        reader.discardBody(RESPONSE_MAX_BYTES)
+        context.records.onUnconfirmedRefusal(request, incarnation, head)
+        return failedOutcome("the endpoint responded with status ${head.status} and may have run the request")
+    }
+
     /** An empty body that only the end of the connection ends may be due to the end of the endpoint. */
     private suspend fun bufferWhole(head: ResponseHead): AttemptOutcome {
         val body = Unpooled.buffer()
@@ -162,9 +173,6 @@
 /** Largest response that is buffered until it is complete; streams are not buffered. */
 private const val RESPONSE_MAX_BYTES: Int = 4 * 1024 * 1024
 
-/** Timeout for receiving the body of a refusal. */
-private const val REFUSAL_BODY_TIMEOUT_MILLIS: Long = 100
-
 /** Weights of failures in the failure score of an endpoint; a weight of 1 makes it suspected at once. */
-private const val ERROR_WEIGHT: Double = 0.4
+internal const val ERROR_WEIGHT: Double = 0.4
 private const val REFUSED_WEIGHT: Double = 0.5
--- a/gateway/src/main/kotlin/pistachiopass/gateway/forward/ResponseReader.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/forward/ResponseReader.kt
@@ -29,6 +29,17 @@
     val isEventStream: Boolean
         get() = isSuccess && hasType(EVENT_STREAM)
 
+    private val isError: Boolean get() = status >= FIRST_ERROR_STATUS
+
+    /** Whether the endpoint states that it has not run the request and never will. */
+    val isRefusal: Boolean get() = metadata.isNotExecuted && isError
+
+    /** Whether the response states both that the request was not run and that it did not fail. */
+    val contradictsItself: Boolean get() = metadata.isNotExecuted && !isError
+
+    /** Whether the status promises callers that the request was not run, while the endpoint does not state that. */
+    val isUnconfirmedRefusal: Boolean get() = !metadata.isNotExecuted && status in NOT_RUN_STATUSES
+
     /** Whether the end of the body is stated by a length or chunks, and not by the end of the connection. */
     val hasStatedEnd: Boolean
         get() = HttpUtil.isTransferEncodingChunked(response) || HttpUtil.isContentLengthSet(response)
@@ -91,11 +102,11 @@
         return part is ResponsePart.End
     }
 
-    /** Reads the rest of the response, up to [maxBytes], so that the connection can be used again. */
+    /** Reads the rest of the response, up to [maxBytes], so that the connection can be used again if it ends soon. */
     suspend fun discardBody(maxBytes: Int) {
         val rest = Unpooled.buffer()
         try {
-            readBody(rest, maxBytes)
+            withTimeoutOrNull(DISCARD_TIMEOUT_MILLIS) { readBody(rest, maxBytes) }
         } finally {
             rest.release()
         }
@@ -105,6 +116,17 @@
         ResponseHead(response, wire.readResponse(response.status().code(), response.headers()))
 }
 
+private const val DISCARD_TIMEOUT_MILLIS = 100L
+private const val FIRST_ERROR_STATUS = 400
+
+/** Statuses that callers take as a promise that the request has not run and never will. */
+private val NOT_RUN_STATUSES = setOf(
+    HttpResponseStatus.REQUEST_TIMEOUT,
+    HttpResponseStatus.MISDIRECTED_REQUEST,
+    HttpResponseStatus.TOO_MANY_REQUESTS,
+    HttpResponseStatus.SERVICE_UNAVAILABLE,
+).map { it.code() }
+
 private const val EVENT_STREAM = "text/event-stream"
 
 /** Media types of bodies that are HTTP messages themselves. */
--- a/gateway/src/main/kotlin/pistachiopass/gateway/forward/Sender.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/forward/Sender.kt
@@ -58,6 +58,12 @@
     fun onSkipped(request: ForwardedRequest, endpoint: EndpointIncarnation, head: ResponseHead, exchanges: Int): Unit =
         log.skipped(request, endpoint, head, exchanges)
 
+    /** Records that [endpoint] sent [head], whose status promises that [request] was not run, without stating it. */
+    fun onUnconfirmedRefusal(request: ForwardedRequest, endpoint: EndpointIncarnation, head: ResponseHead) {
+        health.onFailure(endpoint, ERROR_WEIGHT)
+        log.unconfirmedRefusal(request, endpoint, head)
+    }
+
     /** Records how engines answered to the orders to reserve memory for [request]. */
     fun onReserved(request: ForwardedRequest, outcome: ReservingOutcome): Unit = log.reserved(request, outcome)
 
