Accept only responses that RFC 9112 allows

Callers got malformed responses of engines as answers: one with status 000, and others in whose head a field name had a blank, with that line passed on or with a body that was not the engine's. The decoder accepts far more than RFC 9112 defines, and its verdict was the only check.

One place now decides whether bytes are a well-formed head and a whole body in chunks (pistachiopass.http). The decoder on connections to engines, the store and other instances still finds the ends of messages and hands the bytes that it took to that check as they were received; a response that does not conform ends its connection, and its attempt may have run.

HttpClientTest plays the same table for orders, the store and other instances, ResponseSyntaxTest for the check by itself.

--- a/gateway/src/main/kotlin/pistachiopass/gateway/http/ConnectionLog.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/http/ConnectionLog.kt
@@ -7,6 +7,7 @@
 import pistachiopass.entry.logging.field
 import pistachiopass.entry.logging.log
 import pistachiopass.entry.logging.tokenField
+import pistachiopass.http.SyntaxProblem
 import java.io.IOException
 
 /** How bytes were recognized as belonging to no response. */
@@ -19,11 +20,12 @@
         if (error !is IOException) log.log(Event.INTERNAL_ERROR, field("error", error))
     }
 
-    /** Logs [bytes] on the connection that has carried [exchanges] so far. */
-    fun stray(bytes: StrayBytes, exchanges: Int): Unit = log.log(
+    /** Logs [bytes] on the connection that has carried [exchanges] so far, with the part that is malformed, if any. */
+    fun stray(bytes: StrayBytes, exchanges: Int, problem: SyntaxProblem? = null): Unit = log.log(
         Event.STRAY_BYTES,
         tokenField("address", channel.remoteAddress()?.toString()?.removePrefix("/") ?: "none"),
         field("bytes", bytes),
         field("exchanges", exchanges),
+        tokenField("malformed", problem?.name?.lowercase() ?: "none"),
     )
 }
--- a/gateway/src/main/kotlin/pistachiopass/gateway/http/UpstreamConnection.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/http/UpstreamConnection.kt
@@ -25,20 +25,18 @@
 import io.netty.channel.socket.ChannelInputShutdownEvent
 import io.netty.handler.codec.http.DefaultLastHttpContent
 import io.netty.handler.codec.http.HttpContent
-import io.netty.handler.codec.http.HttpDecoderConfig
-import io.netty.handler.codec.http.HttpMessage
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpRequestEncoder
 import io.netty.handler.codec.http.HttpResponse
-import io.netty.handler.codec.http.HttpResponseDecoder
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
+import pistachiopass.http.SyntaxProblem
 
 /** The client side of HTTP/1.1 on [channel]. */
 internal class UpstreamConnection(val channel: Channel, private val log: ConnectionLog) {
-    private val decoder = ResponseDecoder { exchange?.isOwn(it) ?: true }
+    private val decoder = ResponseDecoder({ exchange?.isOwn(it) ?: true }) { spoil(StrayBytes.NOT_HTTP, it) }
     private var exchange: UpstreamExchange? = null
     private var closesAfterResponse = false
     private var requestWritten: ChannelFuture? = null
@@ -159,8 +157,8 @@
         if (content is LastHttpContent && failure == null) current?.deliver(ResponsePart.End)
     }
 
-    private fun spoil(bytes: StrayBytes) {
-        if (failure == null) log.stray(bytes, exchanges)
+    private fun spoil(bytes: StrayBytes, problem: SyntaxProblem? = null) {
+        if (failure == null) log.stray(bytes, exchanges, problem)
         fail(ConnectionFailure.MALFORMED)
     }
 
@@ -172,32 +170,9 @@
     }
 }
 
-/** Decodes responses; the response to a HEAD request, which [isOwn] accepts, has no body, whatever its headers say. */
-private class ResponseDecoder(private val isOwn: (HttpResponse) -> Boolean) : HttpResponseDecoder(
-    HttpDecoderConfig()
-        .setMaxInitialLineLength(RESPONSE_HEADER_BYTES_MAX)
-        .setMaxHeaderSize(RESPONSE_HEADER_BYTES_MAX)
-        .setMaxChunkSize(CHUNK_BYTES),
-) {
-    var isHeadRequest: Boolean = false
-
-    /** Number of bytes received that complete no message yet. */
-    val bufferedBytes: Int get() = actualReadableBytes()
-
-    /** Returns whether the body that [response] states would be decoded as another response. */
-    fun skipsBodyOf(response: HttpResponse): Boolean =
-        isContentAlwaysEmpty(response) && HttpUtil.getContentLength(response, 0L) > 0
-
-    override fun isContentAlwaysEmpty(message: HttpMessage): Boolean =
-        (isHeadRequest && message is HttpResponse && isOwn(message)) || super.isContentAlwaysEmpty(message)
-}
-
 private fun keepAliveMillisOrNull(header: String): Long? =
     header.split(',')
         .firstNotNullOfOrNull { it.trim().removePrefix("timeout=").toDoubleOrNull() }
         ?.let { (it * MILLIS_PER_SECOND).toLong() }
 
-/** Limit for the status line and for the headers of a response; twice what deployments set for callers' headers. */
-private const val RESPONSE_HEADER_BYTES_MAX: Int = 32 * 1024
-private const val CHUNK_BYTES: Int = 64 * 1024
 private const val MILLIS_PER_SECOND: Double = 1_000.0
--- a/gateway/src/test/kotlin/pistachiopass/gateway/http/HttpClientTest.kt
+++ b/gateway/src/test/kotlin/pistachiopass/gateway/http/HttpClientTest.kt
@@ -5,6 +5,8 @@
 import io.netty.channel.nio.NioIoHandler
 import kotlinx.coroutines.asCoroutineDispatcher
 import kotlinx.coroutines.runBlocking
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.json.Json
 import org.junit.jupiter.api.DynamicTest
 import org.junit.jupiter.api.TestFactory
 import pistachiopass.gateway.casesOf
@@ -14,8 +16,10 @@
 import java.io.IOException
 import java.net.InetAddress
 import java.net.ServerSocket
+import java.nio.file.Path
 import java.util.concurrent.TimeUnit
 import kotlin.concurrent.thread
+import kotlin.io.path.readText
 import kotlin.test.assertEquals
 import kotlin.test.assertNull
 import kotlin.test.assertTrue
@@ -48,6 +52,29 @@
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly()
     }
 
+    // Guards against a state or an outcome of an order that is read from bytes which are no response.
+    @TestFactory
+    fun `only a well-formed response is returned`(): List<DynamicTest> = casesOf(tabledResponses()) { response ->
+        val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
+        val loop = group.next()
+        ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { server ->
+            thread(isDaemon = true) {
+                server.accept().use { socket ->
+                    val input = socket.getInputStream().bufferedReader()
+                    input.awaitRequest()
+                    socket.getOutputStream().write(response.bytes())
+                    input.read()
+                }
+            }
+            val received = runBlocking(loop.asCoroutineDispatcher()) {
+                val address = Address("127.0.0.1", server.localPort)
+                HttpClient(UpstreamPool(loop, ageClockOf())).postOrNull(address, "/", "{}", TIMEOUT_MILLIS)
+            }
+            assertEquals(if (response.isWhole) "done" else null, received?.body?.decodeToString())
+        }
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly()
+    }
+
     // Guards against an order whose outcome is that of an earlier one, as responses to orders name no request.
     @TestFactory
     fun `a second response to an order is not the response to the next one`(): List<DynamicTest> = casesOf(
@@ -107,6 +134,25 @@
     }
 }
 
+/** A response with the body "done" of the table that the tests of all modules share. */
+@Serializable
+private data class TabledResponse(
+    val group: String,
+    val name: String,
+    val isWhole: Boolean,
+    val statusLine: String,
+    val fields: String,
+    val body: String,
+) {
+    fun bytes(): ByteArray = "$statusLine\r\n$fields$body".encodeToByteArray()
+
+    override fun toString(): String = "$group, $name, whole: $isWhole"
+}
+
+private fun tabledResponses(): List<TabledResponse> = Json.decodeFromString(
+    Path.of(System.getProperty("workspace.root"), "coordination/src/test/resources/responses.json").readText(),
+)
+
 private const val SECOND = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
 private const val FINAL = "HTTP/1.1 409 Conflict\r\nContent-Length: 2\r\n\r\n{}"
 private const val LIMIT_BYTES = 256 * 1024
