Confirm the end of a response whose request is still being written

Callers got part of a body as a complete answer when an engine answered a long upload at once without a length and then ended. The kernel closes the connections of a process that ends in order if nothing unread is left, and resets them when more of the request arrives; the close alone ended the answer.

The connection now confirms such an end by 100 ms without a reset, which the write that goes on meets. It also decides that a response without a length needs a body, for orders, the store and other instances as well as for requests.

Two cases of InterruptedResponseTest, a body and a stream whose close is followed by a reset, failed before and pass.

--- a/gateway/src/main/kotlin/pistachiopass/gateway/forward/ResponseHandler.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/forward/ResponseHandler.kt
@@ -91,12 +91,10 @@
         return failedOutcome("the endpoint responded with status ${head.status} and may have run the request")
     }
 
-    /** An empty body that only the end of the connection ends may be due to the end of the endpoint. */
     private suspend fun bufferWhole(head: ResponseHead): AttemptOutcome {
         val body = Unpooled.buffer()
         return try {
-            val mayBeEmpty = head.mayBeEmpty(request.exchange.request.method())
-            val isWhole = reader.readBody(body, RESPONSE_MAX_BYTES) && (body.isReadable || mayBeEmpty)
+            val isWhole = reader.readBody(body, RESPONSE_MAX_BYTES)
             val isOwn = isWhole && !head.isReplaced(body, connection.isOverrun)
             if (isOwn) deliverOrHold(head, body) else incompleteOutcome()
         } finally {
@@ -131,7 +129,7 @@
 
     private suspend fun relayStream(head: ResponseHead, relay: StreamRelay): AttemptOutcome {
         request.response.setStreamHead(head.response)
-        val end = relay.relay(connection, head.hasStatedEnd) { onEvents(isSample = !isContinuation) }
+        val end = relay.relay(connection) { onEvents(isSample = !isContinuation) }
         if (end == StreamEnd.BROKEN) return incompleteOutcome()
         context.records.onAnswered(request, incarnation)
         request.response.endStream()
--- a/gateway/src/main/kotlin/pistachiopass/gateway/forward/ResponseReader.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/forward/ResponseReader.kt
@@ -4,11 +4,9 @@
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
 import io.netty.handler.codec.http.HttpHeaderNames
-import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpStatusClass
-import io.netty.handler.codec.http.HttpUtil
 import kotlinx.coroutines.CoroutineStart
 import kotlinx.coroutines.async
 import kotlinx.coroutines.coroutineScope
@@ -40,10 +38,6 @@
     /** Whether the status promises callers that the request was not run, while the endpoint does not state that. */
     val isUnconfirmedRefusal: Boolean get() = !metadata.isNotExecuted && status in NOT_RUN_STATUSES
 
-    /** Whether the end of the body is stated by a length or chunks, and not by the end of the connection. */
-    val hasStatedEnd: Boolean
-        get() = HttpUtil.isTransferEncodingChunked(response) || HttpUtil.isContentLengthSet(response)
-
     /**
      * Returns whether [body] is another response, or its beginning, which was written in the place of the body.
      *
@@ -54,11 +48,6 @@
 
     private fun hasType(type: String): Boolean =
         response.headers().get(HttpHeaderNames.CONTENT_TYPE).orEmpty().startsWith(type, ignoreCase = true)
-
-    /** Returns whether the response to a request with [method] is whole without a byte of a body. */
-    fun mayBeEmpty(method: HttpMethod): Boolean =
-        hasStatedEnd || method == HttpMethod.HEAD ||
-            response.status() == HttpResponseStatus.NO_CONTENT || response.status() == HttpResponseStatus.NOT_MODIFIED
 }
 
 /** Reads the response to the request [id] from [connection]; [onSkipped] is called for each head that is skipped. */
--- a/gateway/src/main/kotlin/pistachiopass/gateway/forward/StreamRelay.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/forward/StreamRelay.kt
@@ -36,22 +36,12 @@
 
     private var lastWriteNanos = 0L
 
-    /**
-     * Relays the response on [connection] until it ends; [onEvents] is called before each write of events.
-     *
-     * Without [hasStatedEnd] the end of the connection ends the stream. It is not whole then unless it had any bytes,
-     * since an endpoint that fails before it writes ends its connections as well.
-     */
-    suspend fun relay(connection: UpstreamConnection, hasStatedEnd: Boolean, onEvents: () -> Unit): StreamEnd =
+    /** Relays the response on [connection] until it ends; [onEvents] is called before each write of events. */
+    suspend fun relay(connection: UpstreamConnection, onEvents: () -> Unit): StreamEnd =
         EventBuffer().use { buffer ->
             var end: StreamEnd? = null
-            var hasBytes = false
-            while (end == null) {
-                val part = connection.receive()
-                hasBytes = hasBytes || part is ResponsePart.Data
-                end = relayPart(part, buffer, connection, onEvents)
-            }
-            if (hasBytes || hasStatedEnd) end else StreamEnd.BROKEN
+            while (end == null) end = relayPart(connection.receive(), buffer, connection, onEvents)
+            end
         }
 
     private suspend fun relayPart(
--- a/gateway/src/main/kotlin/pistachiopass/gateway/http/ResponseDecoder.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/http/ResponseDecoder.kt
@@ -43,6 +43,10 @@
     private var isInBody = false
     private var chunks: ChunkedBodySyntax? = null
 
+    /** Is true if the body of the current response ends with the connection. */
+    var endsWithConnection: Boolean = false
+        private set
+
     /** Number of bytes received that complete no message yet. */
     val bufferedBytes: Int get() = actualReadableBytes() + head.size()
 
@@ -65,7 +69,7 @@
 
     private fun onHeadBytes(bytes: ByteBuf, decoded: List<Any>) {
         bytes.readBytes(head, bytes.readableBytes())
-        if (decoded.firstOrNull() !is HttpResponse) return
+        val response = decoded.firstOrNull() as? HttpResponse ?: return
         val framing = framingOf(head.toString(ISO_8859_1)).getOrElse { problem ->
             onMalformed(problem)
             null
@@ -73,6 +77,7 @@
         head.reset()
         isInBody = true
         chunks = if (framing?.body is BodyFraming.Chunks) ChunkedBodySyntax() else null
+        endsWithConnection = framing?.body is BodyFraming.Connection && !isContentAlwaysEmpty(response)
     }
 
     private fun onBodyBytes(bytes: ByteBuf) {
--- a/gateway/src/main/kotlin/pistachiopass/gateway/http/UpstreamConnection.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/http/UpstreamConnection.kt
@@ -3,9 +3,10 @@
  *
  * The connection carries one exchange at a time and reports the response part by part. A response that was cut off,
  * such as a chunked one without its last chunk or one whose connection was reset, ends in [ResponsePart.Failed] and
- * never in [ResponsePart.End]. A response without a length or chunks ends with its connection, and is complete only if
- * the server closed that in order: a reset may be reported to a write alone, and the decoder then sees the same end of
- * the channel.
+ * never in [ResponsePart.End]. A response without a length or chunks ends with its connection. It is complete only if it
+ * has a body and the server closed the connection in order: a reset may be reported to a write alone, and the decoder
+ * then sees the same end of the channel. A process that ends closes its connections in order as well, and resets them
+ * only when it gets more, so while the request is still being written the end is confirmed by the absence of a reset.
  *
  * A server may respond twice, the second time late and perhaps only in part, so anything may stand where the response
  * is expected. Whole responses that the [ResponseMatcher] rejects are skipped, with their bodies: those to earlier
@@ -33,6 +34,7 @@
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
 import pistachiopass.http.SyntaxProblem
+import java.util.concurrent.TimeUnit
 
 /** The client side of HTTP/1.1 on [channel]. */
 internal class UpstreamConnection(val channel: Channel, private val log: ConnectionLog) {
@@ -40,6 +42,8 @@
     private var exchange: UpstreamExchange? = null
     private var closesAfterResponse = false
     private var requestWritten: ChannelFuture? = null
+    private var hasBody = false
+    private var isAwaitingReset = false
 
     /** Number of exchanges that were started, this one included. */
     var exchanges: Int = 0
@@ -122,7 +126,7 @@
         }
 
         override fun userEventTriggered(context: ChannelHandlerContext, event: Any) {
-            if (event is ChannelInputShutdownEvent) fail(ConnectionFailure.CLOSED)
+            if (event is ChannelInputShutdownEvent && !isAwaitingReset) fail(ConnectionFailure.CLOSED)
         }
 
         override fun channelInactive(context: ChannelHandlerContext) = fail(ConnectionFailure.RESET)
@@ -141,6 +145,7 @@
             response.decoderResult().isFailure -> spoil(StrayBytes.NOT_HTTP)
             hasTwoHeads(response) -> spoil(StrayBytes.TWO_HEADS)
             failure == null && current.begin(response) -> {
+                hasBody = false
                 closesAfterResponse = !HttpUtil.isKeepAlive(response)
                 keepAliveMillis = response.headers().get("Keep-Alive")?.let(::keepAliveMillisOrNull)
             }
@@ -151,10 +156,31 @@
     private fun onContent(content: HttpContent) {
         val bytes = content.content()
         val current = exchange?.takeIf { failure == null }
+        hasBody = hasBody || bytes.isReadable
         if (bytes.isReadable && current != null) current.deliver(ResponsePart.Data(bytes)) else bytes.release()
         if (content.decoderResult().isFailure) spoil(StrayBytes.NOT_HTTP)
-        if (content is LastHttpContent && !channel.isActive) fail(ConnectionFailure.RESET)
-        if (content is LastHttpContent && failure == null) current?.deliver(ResponsePart.End)
+        if (content is LastHttpContent && failure == null) onLastContent(current)
+    }
+
+    private fun onLastContent(current: UpstreamExchange?) {
+        when {
+            !channel.isActive -> fail(ConnectionFailure.RESET)
+            !decoder.endsWithConnection -> current?.deliver(ResponsePart.End)
+            !hasBody -> fail(ConnectionFailure.CLOSED)
+            requestWritten?.isSuccess ?: true -> current?.deliver(ResponsePart.End)
+            else -> awaitReset(current)
+        }
+    }
+
+    /** Ends the response, which ended with its connection, unless that is reset while the request is being written. */
+    private fun awaitReset(current: UpstreamExchange?) {
+        isAwaitingReset = true
+        channel.eventLoop().schedule({ confirmEnd(current) }, RESET_WAIT_MILLIS, TimeUnit.MILLISECONDS)
+    }
+
+    private fun confirmEnd(current: UpstreamExchange?) {
+        if (failure == null) current?.deliver(ResponsePart.End)
+        fail(ConnectionFailure.CLOSED)
     }
 
     private fun spoil(bytes: StrayBytes, problem: SyntaxProblem? = null) {
@@ -175,4 +201,6 @@
         .firstNotNullOfOrNull { it.trim().removePrefix("timeout=").toDoubleOrNull() }
         ?.let { (it * MILLIS_PER_SECOND).toLong() }
 
+/** Several round trips between data centres. */
+private const val RESET_WAIT_MILLIS: Long = 100
 private const val MILLIS_PER_SECOND: Double = 1_000.0
