Read every number of a configuration in any form of JSON

What callers saw: after a version with a weight of 99.5 (or a maxBodyBytes of 2^31, or a null in place of an optional field) all instances kept the version before it.

Cause: the document was decoded into fixed types. weight, priority, maxAttempts, slots and the limits were 32-bit integers, the others 64-bit ones or doubles without null; one field of another form made the whole version unreadable.

Change: each field is read by itself as the number that it is (fraction, exponent, beyond 64 bits), and brought into the range in which it is used; optional fields may be null or left out; weights are doubles. A version beyond 64 bits or with a fraction is rounded. The position of a request among the weights comes from a random generator seeded with the hash of its id: the hash codes of similar ids differ in their low bits only.

--- a/gateway/src/main/kotlin/pistachiopass/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/Gateway.kt
@@ -52,6 +52,7 @@
 import pistachiopass.gateway.http.serveCallers
 import pistachiopass.gateway.model.Address
 import pistachiopass.gateway.model.CallerLimits
+import pistachiopass.gateway.model.DEFAULT_CALLER_LIMITS
 import pistachiopass.gateway.model.EndpointIncarnation
 import pistachiopass.gateway.model.addressOrNull
 import pistachiopass.gateway.peers.PeerContext
@@ -144,10 +145,10 @@
         EventLog.log(Event.START, field("instance", settings.instance), field("dataCentre", settings.dataCentre))
         val callers = CallerContext(scope, forwarder, ::callerLimits, connections)
         val readiness = ReadinessHandler(wire.readyPath, ::isReady)
-        val probes = CallerContext(scope, readiness, { DEFAULT_LIMITS }, CallerConnections())
+        val probes = CallerContext(scope, readiness, { DEFAULT_CALLER_LIMITS }, CallerConnections())
         val loadMetrics = LoadMetrics(SpeedMetrics(speedReports, ::limitOf), demand.counts)
         val control = ControlHandler(quarantine, loadMetrics, PeerStateHandler(state))
-        val readers = CallerContext(scope, control, { DEFAULT_LIMITS }, CallerConnections())
+        val readers = CallerContext(scope, control, { DEFAULT_CALLER_LIMITS }, CallerConnections())
         listeners = listOf(
             listen(group, addressOf(settings.callerAddress)) { serveCallers(it, callers) },
             listen(group, addressOf(settings.readyAddress)) { serveCallers(it, probes) },
@@ -199,7 +200,7 @@
     private fun isReady(): Boolean =
         !isStopping && isWarm && knownState.table != null && knownState.freshness.isWithin(READY_STATE_AGE_MAX_MILLIS)
 
-    private fun callerLimits(): CallerLimits = knownState.table?.limits ?: DEFAULT_LIMITS
+    private fun callerLimits(): CallerLimits = knownState.table?.limits ?: DEFAULT_CALLER_LIMITS
 
     private fun limitOf(endpoint: EndpointIncarnation): Int =
         load.estimates.limitOf(endpoint, knownState.endpoints.findOrNull(endpoint.endpoint)?.published?.slots ?: 1)
@@ -254,14 +255,6 @@
 private fun addressOf(text: String): Address =
     requireNotNull(addressOrNull(text)) { "address $text: expected host:port with a port from 1 to 65535" }
 
-/** Limits for callers while no routing table is known, and for readiness probes. */
-private val DEFAULT_LIMITS = CallerLimits(
-    headerBytes = 16 * 1024,
-    bodyBytes = 4 * 1024 * 1024,
-    headerTimeoutMillis = 3_000,
-    idleTimeoutMillis = 15_000,
-)
-
 /** Age of the published state up to which the instance is ready; covers two long polls of the store and a reconnect. */
 private const val READY_STATE_AGE_MAX_MILLIS: Long = 3_500
 private const val READY_POLL_MILLIS: Long = 10
--- a/gateway/src/main/kotlin/pistachiopass/gateway/WarmUp.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/WarmUp.kt
@@ -242,7 +242,7 @@
     RouteName("own"),
     WARM_UP_HOST,
     WARM_UP_PREFIX,
-    listOf(WeightedService(WARM_UP_SERVICE, 1)),
+    listOf(WeightedService(WARM_UP_SERVICE, 1.0)),
     RunLimit.RESUMABLE,
     isStream = true,
     isPublic = true,
@@ -257,7 +257,7 @@
     listOf(WARM_UP_ROUTE),
     mapOf(WARM_UP_SERVICE to Service(WARM_UP_SERVICE, coldRequestsPerSecond = 0.0, WARM_UP_SPEEDS)),
     CallerLimits(headerBytes = 16_384, bodyBytes = 65_536, headerTimeoutMillis = 3_000, idleTimeoutMillis = 15_000),
-    workspaceByApiKey = null,
+    workspaces = null,
 )
 
 /** Enough requests to load the classes of the request path; each further one costs about what it saves later. */
--- a/gateway/src/main/kotlin/pistachiopass/gateway/forward/Admission.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/forward/Admission.kt
@@ -19,6 +19,7 @@
 import pistachiopass.model.WorkspaceId
 import pistachiopass.shortage.Rank
 import pistachiopass.shortage.WorkspaceHash
+import kotlin.random.Random
 
 /** The table, route, service and workspace under which a request was admitted. */
 public class Admitted(
@@ -92,14 +93,15 @@
     private fun requiresApiKey(table: RoutingTable, route: Route): Boolean = table.requiresApiKey && !route.isPublic
 
     private fun serviceOf(table: RoutingTable, route: Route, metadata: RequestMetadata): Service? {
-        val total = route.services.sumOf { it.weight }
-        if (total <= 0) return null
-        var position = Math.floorMod(metadata.id.value.hashCode(), total)
-        val share = route.services.first {
+        val weighted = route.services.filter { it.weight > 0 }
+        if (weighted.size <= 1) return weighted.firstOrNull()?.let { table.services[it.service] }
+        // All instances choose the same service for a request; the generator spreads the hash codes of similar ids.
+        var position = Random(metadata.id.value.hashCode()).nextDouble() * weighted.sumOf { it.weight }
+        val target = weighted.firstOrNull {
             position -= it.weight
             position < 0
         }
-        return table.services[share.service]
+        return table.services[(target ?: weighted.last()).service]
     }
 
     private fun unknown(code: FailureCode, message: String): Failure =
--- a/gateway/src/main/kotlin/pistachiopass/gateway/http/CallerConnection.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/http/CallerConnection.kt
@@ -118,7 +118,7 @@
         val current = reading ?: return
         when {
             content.decoderResult().isFailure -> refuse(HttpResponseStatus.BAD_REQUEST, "malformed request body")
-            current.body.readableBytes() + content.content().readableBytes() > bodyLimitBytes ->
+            current.body.readableBytes().toLong() + content.content().readableBytes() > bodyLimitBytes ->
                 refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "request body exceeds $bodyLimitBytes bytes")
             else -> {
                 current.body.addComponent(true, content.content().retain())
--- a/gateway/src/test/kotlin/pistachiopass/gateway/TestHelpers.kt
+++ b/gateway/src/test/kotlin/pistachiopass/gateway/TestHelpers.kt
@@ -12,7 +12,9 @@
 import pistachiopass.gateway.model.RunLimit
 import pistachiopass.gateway.model.Service
 import pistachiopass.gateway.model.ServiceName
+import pistachiopass.gateway.model.TableGaps
 import pistachiopass.gateway.model.WeightedService
+import pistachiopass.gateway.model.Workspaces
 import pistachiopass.model.DataCentreId
 import pistachiopass.model.EndpointId
 import pistachiopass.model.RouteName
@@ -36,7 +38,7 @@
     RouteName("route-$prefix"),
     "host.example",
     prefix,
-    listOf(WeightedService(ASSISTANT, 1)),
+    listOf(WeightedService(ASSISTANT, 1.0)),
     RunLimit.RESUMABLE,
     isStream = true,
     isPublic,
@@ -66,13 +68,14 @@
     routes: List<Route>,
     keys: Map<String, String>? = null,
     priorities: Map<String, Int> = emptyMap(),
+    gaps: TableGaps = TableGaps(),
 ): RoutingTable = RoutingTable(
     TableVersion(version),
     routes,
-    mapOf(ASSISTANT to serviceOf()),
+    (routes.flatMap { it.services }.map { it.service } + ASSISTANT).associateWith { serviceOf().copy(name = it) },
     CallerLimits(16_384, 4_194_304, 3_000, 15_000),
-    keys?.mapValues { WorkspaceId(it.value) },
-    priorities.mapKeys { WorkspaceId(it.key) },
+    keys?.let { Workspaces(it.mapValues { (_, id) -> WorkspaceId(id) }, priorities.mapKeys { WorkspaceId(it.key) }) },
+    gaps,
 )
 
 internal fun tableItem(revision: Long, table: RoutingTable): StateItem =
--- a/gateway/src/test/kotlin/pistachiopass/gateway/forward/AdmissionTest.kt
+++ b/gateway/src/test/kotlin/pistachiopass/gateway/forward/AdmissionTest.kt
@@ -5,9 +5,12 @@
 import org.junit.jupiter.api.DynamicTest
 import org.junit.jupiter.api.TestFactory
 import pistachiopass.entry.logging.EventLog
+import pistachiopass.gateway.ASSISTANT
 import pistachiopass.gateway.casesOf
 import pistachiopass.gateway.model.RequestMetadata
 import pistachiopass.gateway.model.RoutingTable
+import pistachiopass.gateway.model.ServiceName
+import pistachiopass.gateway.model.WeightedService
 import pistachiopass.gateway.routeOf
 import pistachiopass.gateway.state.KnownState
 import pistachiopass.gateway.state.knownStateOf
@@ -26,6 +29,8 @@
     val table: RoutingTable? = TABLE,
 )
 
+private const val SPLIT_REQUESTS = 4_000
+
 private val TABLE = tableOf(
     version = 3,
     listOf(routeOf("/a/"), routeOf("/a/b/"), routeOf("/open/", isPublic = true)),
@@ -79,6 +84,37 @@
         assertEquals(status, admission.refusalOrNull(assertNotNull(admitted), metadata)?.status)
     }
 
+    /** Guards against a split by weights that are no integers, or that are too large for their sum to be one. */
+    @TestFactory
+    fun `a route is split in proportion to its weights, whatever numbers they are`(): List<DynamicTest> = casesOf(
+        listOf(
+            listOf(99.5, 0.5) to 0.995,
+            listOf(0.25, 0.75) to 0.25,
+            listOf(2_147_483_648.0, 2_147_483_648.0) to 0.5,
+            listOf(1e15, 1e15) to 0.5,
+            listOf(0.0, 1e-9) to 0.0,
+            listOf(1.0, 0.0) to 1.0,
+        ),
+    ) { (weights, share) ->
+        val services = listOf(ASSISTANT, ServiceName("other"))
+        val route = routeOf("/a/", isPublic = true)
+            .copy(services = services.zip(weights) { service, weight -> WeightedService(service, weight) })
+        val knownState = knownStateWith(tableOf(3, listOf(route)), stateAgeMillis = 0)
+        val admission = admissionBy(knownState)
+        val first = (1..SPLIT_REQUESTS).count { index ->
+            val metadata = metadataOf(key = null, id = "request-${index * 7_919L}")
+            admission.admit(metadata, "host.example", "/a/1").mapBoth({ it.service.name }, { null }) == ASSISTANT
+        }
+        val tolerance = if (share in 0.01..0.99) 0.03 else 0.004
+        assertEquals(share, first.toDouble() / SPLIT_REQUESTS, tolerance)
+    }
+
+    private fun admissionBy(knownState: KnownState): Admission =
+        admissionOf(knownState, revokeMillis = 5_000, GracefulShutdown { 0 }, noQuarantine())
+
+    private fun metadataOf(key: String?, id: String = "r"): RequestMetadata =
+        RequestMetadata(RequestId(id), 1_000, key, tokenCounts = null, lastEventId = null)
+
     private fun knownStateWith(table: RoutingTable?, stateAgeMillis: Long): KnownState {
         var nowMillis = 0L
         val knownState = knownStateOf({ nowMillis })
