Notice a reset after the end of an early response was read

Cause: the close with unread bytes resets the connection after its orderly end. The reset was only looked for while the request was being written; up to some megabytes fit the buffers of the kernel and count as written. Java reports no error on a connection whose end was read.

Change: after every request with a body, the end of a response without a length is confirmed by the absence of a reset, for 100 ms, or 5 ms if the body is small enough to be read together with its head.

--- a/gateway/src/main/kotlin/pistachiopass/gateway/http/UpstreamConnection.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/http/UpstreamConnection.kt
@@ -5,9 +5,10 @@
  * such as a chunked one without its last chunk or one whose connection was reset, ends in [ResponsePart.Failed] and
  * never in [ResponsePart.End]. A response without a length or chunks ends with its connection. It is complete only if
  * it has a body and the server closed the connection in order: a reset may be reported to a write alone, and the
- * decoder then sees the same end of the channel. The connections of a process that has ended are closed in order as
- * well, and reset when more of the request arrives: while that is being written, the end is confirmed by the absence of
- * a reset.
+ * decoder then sees the same end of the channel. The connections of a process that has ended, or that closes its
+ * output first, are closed in order as well, and reset if bytes of the request are unread or still arrive. What was
+ * written may be unread in the buffers of both ends, so after a request with a body the end is confirmed by the absence
+ * of a reset.
  *
  * A server may respond twice, the second time late and perhaps only in part, so anything may stand where the response
  * is expected. Whole responses that the [ResponseMatcher] rejects are skipped, with their bodies: those to earlier
@@ -43,6 +44,7 @@
     private var exchange: UpstreamExchange? = null
     private var closesAfterResponse = false
     private var requestWritten: ChannelFuture? = null
+    private var requestBodyBytes = 0
     private var hasBody = false
     private var isAwaitingReset = false
 
@@ -78,6 +80,7 @@
         exchanges++
         decoder.isHeadRequest = request.method() == HttpMethod.HEAD
         failure?.let { exchange?.fail(it) }
+        requestBodyBytes = body.readableBytes()
         channel.write(request)
         requestWritten = channel.writeAndFlush(DefaultLastHttpContent(body))
     }
@@ -167,20 +170,29 @@
                 !channel.isActive -> fail(ConnectionFailure.RESET)
                 !decoder.endsWithConnection -> current?.deliver(ResponsePart.End)
                 !hasBody -> fail(ConnectionFailure.CLOSED)
-                requestWritten?.isSuccess ?: true -> current?.deliver(ResponsePart.End)
+                requestBodyBytes == 0 -> current?.deliver(ResponsePart.End)
                 else -> awaitReset(current)
             }
         }
 
-        /** Ends the response, whose connection was closed, unless that is reset while the request is being written. */
+        /** Ends the response, whose connection was closed, unless the connection is reset as well. */
         private fun awaitReset(current: UpstreamExchange?) {
             isAwaitingReset = true
-            channel.eventLoop().schedule({ confirmEnd(current) }, RESET_WAIT_MILLIS, TimeUnit.MILLISECONDS)
+            val mayBeUnread = requestBodyBytes > READ_AT_ONCE_BYTES || requestWritten?.isSuccess == false
+            val polls = if (mayBeUnread) RESET_POLLS else 1
+            pollReset(current, channel.resetWatchOrNull(), polls)
         }
 
-        private fun confirmEnd(current: UpstreamExchange?) {
-            if (failure == null) current?.deliver(ResponsePart.End)
-            fail(ConnectionFailure.CLOSED)
+        private fun pollReset(current: UpstreamExchange?, watch: ResetWatch?, polls: Int) {
+            val isReset = failure == null && watch?.isReset() == true
+            if (failure == null && !isReset && polls > 0) {
+                val poll = { pollReset(current, watch, polls - 1) }
+                channel.eventLoop().schedule(poll, RESET_POLL_MILLIS, TimeUnit.MILLISECONDS)
+                return
+            }
+            watch?.close()
+            if (failure == null && !isReset) current?.deliver(ResponsePart.End)
+            fail(if (isReset) ConnectionFailure.RESET else ConnectionFailure.CLOSED)
         }
     }
 
@@ -202,6 +214,11 @@
         .firstNotNullOfOrNull { it.trim().removePrefix("timeout=").toDoubleOrNull() }
         ?.let { (it * MILLIS_PER_SECOND).toLong() }
 
-/** Several round trips between data centres. */
-private const val RESET_WAIT_MILLIS: Long = 100
+/** Size up to which servers read a body together with its head, so that it is seldom unread. */
+private const val READ_AT_ONCE_BYTES: Int = 4 * 1024
+
+private const val RESET_POLL_MILLIS: Long = 5
+
+/** In all, several round trips between data centres. */
+private const val RESET_POLLS: Int = 20
 private const val MILLIS_PER_SECOND: Double = 1_000.0
--- a/gateway/src/main/kotlin/pistachiopass/gateway/http/UpstreamPool.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/http/UpstreamPool.kt
@@ -6,7 +6,6 @@
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoop
-import io.netty.channel.socket.nio.NioSocketChannel
 import kotlinx.coroutines.suspendCancellableCoroutine
 import pistachiopass.entry.logging.EventLog
 import pistachiopass.gateway.model.Address
@@ -81,7 +80,7 @@
         lateinit var connection: UpstreamConnection
         val bootstrap = Bootstrap()
             .group(eventLoop)
-            .channel(NioSocketChannel::class.java)
+            .channel(WatchableSocketChannel::class.java)
             .option(ChannelOption.TCP_NODELAY, true)
             // Tells an orderly close by the server from a reset.
             .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
