--- a/gateway/src/main/kotlin/pistachiopass/gateway/Process.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/Process.kt
@@ -3,7 +3,9 @@
 
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.mapBoth
+import com.github.michaelbull.result.onFailure
 import com.github.michaelbull.result.runCatching
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.channels.consumeEach
@@ -40,7 +42,7 @@
     val status = runCatching {
         runBlocking {
             val gateway = gatewayOf(settings, adapter)
-            val reload = launch { hangUps.consumeEach { gateway.changeSettings(readAgain) } }
+            val reload = launch { hangUps.consumeEach { gateway.changeSettingsOrLog(readAgain) } }
             run(gateway, stopRequested)
             reload.cancel()
         }
@@ -55,6 +57,14 @@
     exitProcess(status)
 }
 
+/** A settings file that no reader has foreseen must not end the process. */
+private suspend fun Gateway.changeSettingsOrLog(read: (BoundSettings) -> Result<ReadSettings, String>) {
+    runCatching { changeSettings(read) }.onFailure { error ->
+        if (error is CancellationException) throw error
+        EventLog.log(Event.INTERNAL_ERROR, field("error", error))
+    }
+}
+
 private suspend fun run(gateway: Gateway, stopRequested: CompletableDeferred<Unit>) {
     gateway.start(stopRequested)
     stopRequested.await()
--- a/gateway/src/main/kotlin/pistachiopass/gateway/http/CallerConnection.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/http/CallerConnection.kt
@@ -53,6 +53,7 @@
     private var serving: Job? = null
     private var writable: CompletableDeferred<Unit>? = null
     private var isRefused = false
+    private val headerLimitBytes = context.limits().headerBytes
 
     /** Monotonic time of the last read or write. */
     var lastActivityNanos: Long = System.nanoTime()
@@ -61,6 +62,10 @@
     /** Monotonic time at which the headers of the request being read arrived, or null if none is being read. */
     val readingSinceNanos: Long? get() = reading?.arrivedNanos
 
+    /** Is true if no further requests are taken; the limit for headers is that of the time when it was opened. */
+    private val isClosing: Boolean
+        get() = context.connections.isClosing || context.limits().headerBytes != headerLimitBytes
+
     /** Is true while no request is being read or served. */
     val isIdle: Boolean get() = serving == null && reading == null && pipelined.isEmpty()
 
@@ -218,7 +223,7 @@
         }
 
         private fun writeHead(status: Int, headers: HttpHeaders) {
-            if (!keepsAlive || context.connections.isClosing) {
+            if (!keepsAlive || isClosing) {
                 headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
             }
             channel.write(DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), headers))
@@ -227,7 +232,7 @@
         private fun finish(body: ByteBuf) {
             lastActivityNanos = System.nanoTime()
             val written = channel.writeAndFlush(DefaultLastHttpContent(body))
-            if (!keepsAlive || context.connections.isClosing) written.addListener(ChannelFutureListener.CLOSE)
+            if (!keepsAlive || isClosing) written.addListener(ChannelFutureListener.CLOSE)
         }
     }
 }
