--- a/gateway/src/main/kotlin/pistachiopass/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/Gateway.kt
@@ -72,7 +72,7 @@
 import pistachiopass.gateway.settings.BoundSettings
 import pistachiopass.gateway.settings.CurrentBounds
 import pistachiopass.gateway.settings.GatewaySettings
-import pistachiopass.gateway.settings.ReadSettings
+import pistachiopass.gateway.settings.LoadedSettings
 import pistachiopass.gateway.state.PublishedState
 import pistachiopass.gateway.state.StateWatch
 import pistachiopass.gateway.state.ageClockOf
@@ -101,7 +101,7 @@
 }
 
 /** An instance that serves from [start] to [stop]. All its state is confined to one event loop. */
-public class Gateway internal constructor(read: ReadSettings, adapter: PlatformAdapter) {
+public class Gateway internal constructor(read: LoadedSettings, adapter: PlatformAdapter) {
     private val settings = read.settings
     private val bounds = CurrentBounds(settings.bounds, read.unread)
     private val group: EventLoopGroup = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
@@ -178,7 +178,7 @@
     }
 
     /** Applies the bounds that [read] returns, given those in force; all other settings need a new process. */
-    public suspend fun changeSettings(read: (BoundSettings) -> Result<ReadSettings, String>): Unit =
+    public suspend fun changeSettings(read: (BoundSettings) -> Result<LoadedSettings, String>): Unit =
         withContext(scope.coroutineContext) { bounds.change(read(bounds.value)) }
 
     /**
@@ -270,10 +270,10 @@
 
 /** Returns an instance with [settings] on the platform behind [adapter]. */
 public fun gatewayOf(settings: GatewaySettings, adapter: PlatformAdapter): Gateway =
-    gatewayOf(ReadSettings(settings, emptyList()), adapter)
+    gatewayOf(LoadedSettings(settings, emptyList()), adapter)
 
 /** Returns an instance with the settings [read], which reports what of them could not be read. */
-public fun gatewayOf(read: ReadSettings, adapter: PlatformAdapter): Gateway = Gateway(read, adapter)
+public fun gatewayOf(read: LoadedSettings, adapter: PlatformAdapter): Gateway = Gateway(read, adapter)
 
 private fun addressOf(text: String): Address =
     requireNotNull(addressOrNull(text)) { "address $text: expected host:port with a port from 1 to 65535" }
--- a/gateway/src/main/kotlin/pistachiopass/gateway/Process.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/Process.kt
@@ -17,7 +17,7 @@
 import pistachiopass.entry.logging.field
 import pistachiopass.entry.logging.log
 import pistachiopass.gateway.settings.BoundSettings
-import pistachiopass.gateway.settings.ReadSettings
+import pistachiopass.gateway.settings.LoadedSettings
 import sun.misc.Signal
 import kotlin.system.exitProcess
 
@@ -28,9 +28,9 @@
  * The process exits in any case, also after a failure, so that its supervisor can start it again.
  */
 public fun runInstance(
-    settings: ReadSettings,
+    settings: LoadedSettings,
     adapter: PlatformAdapter,
-    readAgain: (BoundSettings) -> Result<ReadSettings, String>,
+    readAgain: (BoundSettings) -> Result<LoadedSettings, String>,
 ) {
     val stopRequested = CompletableDeferred<Unit>()
     val hangUps = Channel<Unit>(Channel.CONFLATED)
@@ -58,7 +58,7 @@
 }
 
 /** A settings file that no reader has foreseen must not end the process. */
-private suspend fun Gateway.changeSettingsOrLog(read: (BoundSettings) -> Result<ReadSettings, String>) {
+private suspend fun Gateway.changeSettingsOrLog(read: (BoundSettings) -> Result<LoadedSettings, String>) {
     runCatching { changeSettings(read) }.onFailure { error ->
         if (error is CancellationException) throw error
         EventLog.log(Event.INTERNAL_ERROR, field("error", error))
--- a/gateway/src/main/kotlin/pistachiopass/gateway/forward/Admission.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/forward/Admission.kt
@@ -51,6 +51,9 @@
     private val shutdown: GracefulShutdown,
     private val parts: PartAdmission,
 ) {
+    /** The rest of the time within which removed keys must be refused allows for the transfer from the caller. */
+    private val keyAgeMaxMillis: Long get() = revokeMillis() * KEY_AGE_PERCENT / PERCENT
+
     /** Returns what a request for [host] and [path] is admitted under, or the failure to answer it with. */
     public fun admit(metadata: RequestMetadata, host: String, path: String): Result<Admitted, Failure> {
         val table = knownState.table
@@ -82,7 +85,7 @@
 
     private fun reassignmentOrNull(workspace: WorkspaceId?, admittedWorkspace: WorkspaceId?): Failure? = when {
         workspace == admittedWorkspace -> null
-        workspace == null && knownState.table?.gaps?.hasKeys == true -> unread(SOME_KEYS)
+        workspace == null && knownState.table?.gaps?.mayLackKeys == true -> unread(SOME_KEYS)
         else -> Failure(FailureCode.NOT_AUTHORIZED, Verdict.NOT_RUN, "the API key was removed or reassigned")
     }
 
@@ -92,7 +95,7 @@
         return when {
             service == null -> Err(unavailable("route ${route.name} leads to no service of the routing table"))
             !requiresApiKey(table, route) -> Ok(Admitted(table, route, service, workspace))
-            workspace == null && table.gaps.hasKeys -> Err(unread(SOME_KEYS))
+            workspace == null && table.gaps.mayLackKeys -> Err(unread(SOME_KEYS))
             workspace == null && route.mayBePublic -> Err(unread("whether the route is public"))
             workspace == null -> Err(unknown(FailureCode.NOT_AUTHORIZED, "the API key is missing or unknown"))
             !knownState.freshness.isWithin(keyAgeMaxMillis) ->
@@ -101,9 +104,6 @@
         }
     }
 
-    /** The rest of the time within which removed keys must be refused allows for the transfer from the caller. */
-    private val keyAgeMaxMillis: Long get() = revokeMillis() * KEY_AGE_PERCENT / PERCENT
-
     private fun requiresApiKey(table: RoutingTable, route: Route): Boolean = table.requiresApiKey && !route.isPublic
 
     private fun serviceOf(table: RoutingTable, route: Route, metadata: RequestMetadata): Service? {
--- a/gateway/src/main/kotlin/pistachiopass/gateway/model/RoutingTable.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/model/RoutingTable.kt
@@ -121,7 +121,7 @@
     /** Whether the table does not say which version it is. */
     val lacksVersion: Boolean = false,
     /** Whether API keys may be listed that are not known here. */
-    val hasKeys: Boolean = false,
+    val mayLackKeys: Boolean = false,
     val routes: List<RouteGap> = emptyList(),
 ) {
     /**
--- a/gateway/src/main/kotlin/pistachiopass/gateway/settings/CurrentBounds.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/settings/CurrentBounds.kt
@@ -18,7 +18,7 @@
         private set
 
     /** Replaces the bounds by those [read], unless the settings cannot be used at all, and logs what is unread. */
-    public fun change(read: Result<ReadSettings, String>) {
+    public fun change(read: Result<LoadedSettings, String>) {
         read.onSuccess { value = it.settings.bounds }
         unread = read.mapBoth({ it.unread }, { listOf(UnreadPart("settings", "unusable")) })
         unread.forEach(EventLog::logUnread)
--- a/gateway/src/main/kotlin/pistachiopass/gateway/settings/GatewaySettings.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/settings/GatewaySettings.kt
@@ -61,7 +61,7 @@
 )
 
 /** Settings, and what of them could not be read. */
-public class ReadSettings(public val settings: GatewaySettings, public val unread: List<UnreadPart>)
+public class LoadedSettings(public val settings: GatewaySettings, public val unread: List<UnreadPart>)
 
 /**
  * Returns the settings in the JSON [text], or a message that names the field and what is wrong.
@@ -69,7 +69,7 @@
  * A bound or a seed that cannot be read keeps no other setting from being used: the bound stays as it is in [held], and
  * the seed is left out. Numbers are read in any form that JSON has for them.
  */
-public fun readGatewaySettings(text: String, held: BoundSettings = BoundSettings()): Result<ReadSettings, String> =
+public fun readGatewaySettings(text: String, held: BoundSettings = BoundSettings()): Result<LoadedSettings, String> =
     try {
         val fields = settingsJson.parseToJsonElement(text).jsonObject
         val unread = ArrayList<UnreadPart>()
@@ -81,7 +81,8 @@
         val bounds = JsonObject(readableBounds(fields["bounds"], held, unread))
         val readable = fields + mapOf("seeds" to JsonArray(seeds), "bounds" to bounds) +
             listOfNotNull(port?.let { "peerPort" to it })
-        Ok(ReadSettings(settingsJson.decodeFromJsonElement(GatewaySettings.serializer(), JsonObject(readable)), unread))
+        val settings = settingsJson.decodeFromJsonElement(GatewaySettings.serializer(), JsonObject(readable))
+        Ok(LoadedSettings(settings, unread))
     } catch (e: SerializationException) {
         Err(e.message.orEmpty().lineSequence().first())
     } catch (e: IllegalArgumentException) {
--- a/gateway/src/main/kotlin/pistachiopass/gateway/state/PublishedState.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/state/PublishedState.kt
@@ -31,7 +31,7 @@
      * Applies [changes], if there are any, and then confirms the state as of [atMillis] on the age clock; returns
      * whether that is news. The end of an outage is noted first, since it decides how removals are taken.
      */
-    public fun applyCurrent(changes: PublishedChanges?, atMillis: Long): Boolean {
+    public fun applyAndConfirm(changes: PublishedChanges?, atMillis: Long): Boolean {
         knownState.freshness.noteReturn(atMillis)
         changes?.let(::apply)
         return knownState.freshness.confirmed(atMillis)
--- a/gateway/src/main/kotlin/pistachiopass/gateway/state/StateWatch.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/state/StateWatch.kt
@@ -71,7 +71,7 @@
         if (failures > 0) log.log(Event.PLATFORM_BACK, field("failures", failures))
         failures = 0
         needsAll = false
-        state.applyCurrent(changes, requestedAtMillis)
+        state.applyAndConfirm(changes, requestedAtMillis)
         onConfirmed()
     }
 
--- a/gateway/src/test/kotlin/pistachiopass/gateway/forward/AdmissionTest.kt
+++ b/gateway/src/test/kotlin/pistachiopass/gateway/forward/AdmissionTest.kt
@@ -94,10 +94,10 @@
     @TestFactory
     fun `what a table with gaps may contain is not said to be missing`(): List<DynamicTest> = casesOf(
         listOf(
-            GapCase(TableGaps(hasKeys = true), "/a/1", "k1", "route-/a/ w1"),
-            GapCase(TableGaps(hasKeys = true), "/a/1", "other", "503"),
-            GapCase(TableGaps(hasKeys = true), "/a/1", key = null, "503"),
-            GapCase(TableGaps(hasKeys = true), "/open/1", key = null, "route-/open/ null"),
+            GapCase(TableGaps(mayLackKeys = true), "/a/1", "k1", "route-/a/ w1"),
+            GapCase(TableGaps(mayLackKeys = true), "/a/1", "other", "503"),
+            GapCase(TableGaps(mayLackKeys = true), "/a/1", key = null, "503"),
+            GapCase(TableGaps(mayLackKeys = true), "/open/1", key = null, "route-/open/ null"),
             GapCase(gapOf(host = null, "/x/"), "/x/1", "k1", "503"),
             GapCase(gapOf(host = null, "/x/"), "/y/1", "k1", "404"),
             GapCase(gapOf("host.example", pathPrefix = null), "/y/1", "k1", "503"),
--- a/gateway/src/test/kotlin/pistachiopass/gateway/state/KnownStateTest.kt
+++ b/gateway/src/test/kotlin/pistachiopass/gateway/state/KnownStateTest.kt
@@ -161,13 +161,13 @@
     fun `the age of the table is that of the last one that was applied`() {
         val scenario = Scenario()
         val empty = PublishedChanges(Revision(1), isFull = false, emptyList())
-        scenario.state.applyCurrent(empty, 0)
+        scenario.state.applyAndConfirm(empty, 0)
         scenario.changes(tableItem(2, tableOf(7, listOf(routeOf("/a/")))))
         scenario.nowMillis = 1_000
         scenario.changes(StateItem.Table(Revision(3), table = null, problem = "malformed"))
-        scenario.state.applyCurrent(empty, 1_000)
+        scenario.state.applyAndConfirm(empty, 1_000)
         scenario.nowMillis = 9_000
-        scenario.state.applyCurrent(empty, 9_000)
+        scenario.state.applyAndConfirm(empty, 9_000)
         assertEquals(9_000, scenario.knownState.tableAgeMillisOrNull())
         scenario.changes(tableItem(4, tableOf(8, listOf(routeOf("/a/")))))
         assertEquals(0, scenario.knownState.tableAgeMillisOrNull())
@@ -178,7 +178,7 @@
         val knownState = knownStateOf({ 0 })
         val state = PublishedState(knownState) { null }
         val changes = PublishedChanges(Revision(3), isFull = false, emptyList())
-        assertFailsWith<IllegalArgumentException> { state.applyCurrent(changes, 0) }
+        assertFailsWith<IllegalArgumentException> { state.applyAndConfirm(changes, 0) }
         assertEquals(null, knownState.freshness.ageMillisOrNull())
     }
 
