Notice a reset after an early response in the tables mode as well

What callers saw: the same as on the users' platform: an early response without a length whose endpoint closes its output and then its socket was returned as whole.

Cause: the library reads the end of the stream and looks no further; a request that fits the buffers of the kernel counts as written.

Change: the client's sockets are those of channels, and the watch for a reset, now in pistachiopass.http, is used for both modes.

--- a/coordination/src/main/kotlin/pistachiopass/http/SingleResponseSyntax.kt
+++ b/coordination/src/main/kotlin/pistachiopass/http/SingleResponseSyntax.kt
@@ -30,6 +30,9 @@
         }
     }
 
+    /** Whether the body ends with the connection. */
+    public val endsWithConnection: Boolean get() = framing == BodyFraming.Connection
+
     /**
      * Returns whether the bytes so far are a whole response if the server closes the connection now.
      *
--- a/entry/src/test/kotlin/pistachiopass/entry/http/CheckedHttpClientTest.kt
+++ b/entry/src/test/kotlin/pistachiopass/entry/http/CheckedHttpClientTest.kt
@@ -67,7 +67,10 @@
             EarlyEnd("done", isClosed = false, isReset = true, SHORT_REQUEST_BYTES) to null,
             EarlyEnd("done", isClosed = false, isReset = true, LONG_REQUEST_BYTES) to null,
             EarlyEnd("done", isClosed = true, isReset = true, LONG_REQUEST_BYTES) to null,
-        ),
+        ) + listOf(10_000, 300_000, 2_000_000).flatMap { bytes ->
+            // Bytes of the request that are unread at the close reset the connection.
+            listOf(true, false).map { EarlyEnd("done", isClosed = true, isReset = it, bytes) to null }
+        },
     ) { (end, expected) ->
         val received = receivedOrNull(end.requestBytes, EARLY_BUFFER_BYTES) { socket ->
             socket.getOutputStream().write("HTTP/1.1 200 OK\r\n\r\n${end.body}".encodeToByteArray())
--- a/gateway/src/main/kotlin/pistachiopass/gateway/http/UpstreamConnection.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/http/UpstreamConnection.kt
@@ -35,7 +35,10 @@
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
+import pistachiopass.http.RESET_POLL_MILLIS
+import pistachiopass.http.ResetWatch
 import pistachiopass.http.SyntaxProblem
+import pistachiopass.http.resetPollsAfter
 import java.util.concurrent.TimeUnit
 
 /** The client side of HTTP/1.1 on [channel]. */
@@ -178,8 +181,8 @@
         /** Ends the response, whose connection was closed, unless the connection is reset as well. */
         private fun awaitReset(current: UpstreamExchange?) {
             isAwaitingReset = true
-            val mayBeUnread = requestBodyBytes > READ_AT_ONCE_BYTES || requestWritten?.isSuccess == false
-            val polls = if (mayBeUnread) RESET_POLLS else 1
+            val isWritten = requestWritten?.isSuccess ?: true
+            val polls = resetPollsAfter(if (isWritten) requestBodyBytes.toLong() else Long.MAX_VALUE)
             pollReset(current, channel.resetWatchOrNull(), polls)
         }
 
@@ -214,11 +217,4 @@
         .firstNotNullOfOrNull { it.trim().removePrefix("timeout=").toDoubleOrNull() }
         ?.let { (it * MILLIS_PER_SECOND).toLong() }
 
-/** Size up to which servers read a body together with its head, so that it is seldom unread. */
-private const val READ_AT_ONCE_BYTES: Int = 4 * 1024
-
-private const val RESET_POLL_MILLIS: Long = 5
-
-/** In all, several round trips between data centres. */
-private const val RESET_POLLS: Int = 20
 private const val MILLIS_PER_SECOND: Double = 1_000.0
