Positions in the store's history have an era

Shared types of the work on a store that comes back from an older copy. The era is 0 everywhere so far, and nothing behaves otherwise. Messages between instances that hold a position have another form: an instance of an earlier release does not read them, and watches the store itself meanwhile.

--- a/coordination/src/main/kotlin/pistachiopass/published/PublishedItem.kt
+++ b/coordination/src/main/kotlin/pistachiopass/published/PublishedItem.kt
@@ -1,7 +1,7 @@
 /**
  * Items of a store that can only be read, in the form in which instances pass them on to each other.
  *
- * Keys and values are opaque here; the store's revision orders all changes.
+ * Keys and values are opaque here; the store's eras and revisions order all changes.
  */
 package pistachiopass.published
 
@@ -10,26 +10,49 @@
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.cbor.ByteString
 
-/** Position of a change in the store's history; later changes have higher ones. */
+/**
+ * Position of a change in the store's history; later changes have higher ones.
+ *
+ * The revision [value] rises with each change within an [era]. A store that returns from an older copy of itself begins
+ * the next era, in which revisions that were given out before are given out again.
+ */
 @Serializable
-@JvmInline
-public value class Revision(public val value: Long) : Comparable<Revision> {
-    override fun compareTo(other: Revision): Int = value.compareTo(other.value)
+public data class Revision(@SerialName("v") val value: Long, @SerialName("e") val era: Long = 0) :
+    Comparable<Revision> {
+    override fun compareTo(other: Revision): Int = compareValuesBy(this, other, Revision::era, Revision::value)
 
-    override fun toString(): String = value.toString()
+    override fun toString(): String = if (era == 0L) "$value" else "$era:$value"
 }
 
-/** The item [key] as of its last change at [revision]; [value] is null if that change removed it. */
+/**
+ * Marks an item that is believed from an earlier era against what the store has in the present one.
+ *
+ * It is believed for [remainingMillis] more, within which it would be written again; then [published] holds, the value
+ * that the store has, null for none.
+ */
+@OptIn(ExperimentalSerializationApi::class)
+@Serializable
+public class Hold(
+    @SerialName("m") public val remainingMillis: Long,
+    @SerialName("v") @ByteString public val published: ByteArray?,
+)
+
+/**
+ * The item [key] as of its last change at [revision]; [value] is null if that change removed it. With a [hold] it is
+ * not what the store has at present.
+ */
 @OptIn(ExperimentalSerializationApi::class)
 @Serializable
 public class PublishedItem(
     @SerialName("k") public val key: String,
     @SerialName("r") public val revision: Revision,
     @SerialName("v") @ByteString public val value: ByteArray?,
+    @SerialName("h") public val hold: Hold? = null,
 ) {
     public val isRemoved: Boolean get() = value == null
 
-    override fun toString(): String = "$key@$revision${if (isRemoved) " removed" else ""}"
+    override fun toString(): String =
+        "$key@$revision${if (isRemoved) " removed" else ""}${if (hold != null) " held" else ""}"
 }
 
 /**
--- a/gateway/src/main/kotlin/pistachiopass/gateway/PlatformInterfaces.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/PlatformInterfaces.kt
@@ -86,6 +86,12 @@
 
     /** A change does not say which item it is of; all items must be read again. */
     UNKNOWN_CHANGE,
+
+    /** The store has returned from an older copy of itself, so that all items must be read again. */
+    ERA_CHANGED,
+
+    /** The response is older than what was known when it was asked for, and says nothing. */
+    OUTDATED,
 }
 
 /** Reads the published state. */
@@ -93,10 +99,14 @@
     /** What could not be read when all items were read last and belongs to no known item. */
     public val unread: List<UnreadPart> get() = emptyList()
 
-    /** Returns all published items. */
-    public suspend fun readAll(): Result<PublishedChanges, StateProblem>
+    /** Returns all published items. Those of a store that does not state its era are of the era of [known], or of 0. */
+    public suspend fun readAll(known: Revision?): Result<PublishedChanges, StateProblem>
 
-    /** Returns the changes after [after], once there is one or [waitMillis] have passed. */
+    /**
+     * Returns the changes after [after], once there is one or [waitMillis] have passed; fails with
+     * [StateProblem.ERA_CHANGED] if the store is in a later era, and with [StateProblem.OUTDATED] if the response is of
+     * an earlier era or revision than [after].
+     */
     public suspend fun changesAfter(after: Revision, waitMillis: Long): Result<PublishedChanges, StateProblem>
 
     /** Closes the idle connections, so that the next call opens a new one. */
--- a/gateway/src/main/kotlin/pistachiopass/gateway/state/StateWatch.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/state/StateWatch.kt
@@ -50,7 +50,7 @@
         val position = state.position?.takeUnless { needsAll }
         val waitMillis = if (failures > 0) WATCH_AFTER_FAILURE_MILLIS else WATCH_MILLIS
         val result: Result<PublishedChanges, StateProblem> =
-            if (position == null) source.readAll() else source.changesAfter(position, waitMillis)
+            if (position == null) source.readAll(state.position) else source.changesAfter(position, waitMillis)
         return result.mapBoth(
             success = {
                 succeeded(it, requestedAtMillis)
--- a/gateway/src/test/kotlin/pistachiopass/gateway/state/StateWatchTest.kt
+++ b/gateway/src/test/kotlin/pistachiopass/gateway/state/StateWatchTest.kt
@@ -29,7 +29,7 @@
 
 /** A store that loses every request during an outage; the client times out 700 ms after the requested wait. */
 private class LossyStore(private val outage: Outage, private val nowMillis: () -> Long) : StateSource {
-    override suspend fun readAll(): Result<PublishedChanges, StateProblem> = answer(waitMillis = 0)
+    override suspend fun readAll(known: Revision?): Result<PublishedChanges, StateProblem> = answer(waitMillis = 0)
 
     override suspend fun changesAfter(after: Revision, waitMillis: Long): Result<PublishedChanges, StateProblem> =
         answer(waitMillis)
@@ -111,7 +111,7 @@
 
 /** Publishes endpoints, one of them with a value that the decoder fails on; its first [errors] calls throw. */
 private class FaultyStore(private var errors: Int) : StateSource {
-    override suspend fun readAll(): Result<PublishedChanges, StateProblem> {
+    override suspend fun readAll(known: Revision?): Result<PublishedChanges, StateProblem> {
         check(errors-- <= 0) { "unexpected" }
         val items = listOf("e1", MALFORMED, "e2").map { PublishedItem(it, Revision(2), ByteArray(0)) }
         return Ok(PublishedChanges(Revision(2), isFull = true, items))
@@ -130,7 +130,7 @@
     private val listed = PublishedItem("e1", Revision(2), ByteArray(0))
     private val removed = PublishedItem("e1", Revision(3), value = null)
 
-    override suspend fun readAll(): Result<PublishedChanges, StateProblem> =
+    override suspend fun readAll(known: Revision?): Result<PublishedChanges, StateProblem> =
         Ok(PublishedChanges(Revision(2), isFull = true, listOf(listed)))
 
     override suspend fun changesAfter(after: Revision, waitMillis: Long): Result<PublishedChanges, StateProblem> {
