--- a/entry/src/main/kotlin/pistachiopass/entry/logging/Event.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/logging/Event.kt
@@ -59,6 +59,16 @@
         "A part of the published state or of the settings could not be read; which one and why is given.",
     ),
     STATE_NOT_FETCHED(number = 2013, Level.WARN, "Another instance did not give its published state in time."),
+    STATE_READ(
+        number = 2015,
+        Level.INFO,
+        "All published items were read; the position before, that of the response and what it changed are given.",
+    ),
+    STATE_BEHIND(
+        number = 2016,
+        Level.WARN,
+        "The store answered with an older position than the one that was asked for; both are given.",
+    ),
 
     ROUTE_CHOSEN(number = 3001, Level.INFO, "A request matched a route."),
     NO_ROUTE(number = 3002, Level.WARN, "A request matched no route."),
--- a/gateway/src/main/kotlin/pistachiopass/gateway/peers/StateExchange.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/peers/StateExchange.kt
@@ -137,7 +137,7 @@
     private fun apply(changes: PublishedChanges, confirmedMillis: Long) {
         fedMillis = maxOf(fedMillis, confirmedMillis)
         val isNew = changes.isFull || changes.items.isNotEmpty() || state.position != changes.position
-        val isConfirmed = state.applyAndConfirm(changes.takeIf { isNew }, confirmedMillis)
+        val isConfirmed = state.applyAndConfirm(changes.takeIf { isNew }, confirmedMillis).isNews
         if (isNew || isConfirmed) updateReaders()
     }
 
--- a/gateway/src/main/kotlin/pistachiopass/gateway/state/PublishedState.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/state/PublishedState.kt
@@ -13,6 +13,9 @@
 import pistachiopass.published.PublishedLog
 import pistachiopass.published.Revision
 
+/** What a confirmation of the state brought: the number of [changed] items, and whether the confirmation [isNews]. */
+internal class Confirmation(val changed: Int, val isNews: Boolean)
+
 /** Decodes what changes in the log and applies it to [knownState]. Confined to the event loop. */
 public class PublishedState internal constructor(
     public val knownState: KnownState,
@@ -24,17 +27,24 @@
     /** Position up to which all changes are applied, or null while nothing is known. */
     public val position: Revision? get() = log.position
 
-    /** Applies [changes]; an item that cannot be decoded keeps no other from being applied. */
-    public fun apply(changes: PublishedChanges): Unit = knownState.apply(log.apply(changes).mapNotNull(::decodedOrNull))
+    /**
+     * Applies [changes] and returns how many items they changed; an item that cannot be decoded keeps no other from
+     * being applied.
+     */
+    public fun apply(changes: PublishedChanges): Int {
+        val changed = log.apply(changes)
+        knownState.apply(changed.mapNotNull(::decodedOrNull))
+        return changed.size
+    }
 
     /**
-     * Applies [changes], if there are any, and then confirms the state as of [atMillis] on the age clock; returns
-     * whether that is news. The end of an outage is noted first, since it decides how removals are taken.
+     * Applies [changes], if there are any, and then confirms the state as of [atMillis] on the age clock. The end of an
+     * outage is noted first, since it decides how removals are taken.
      */
-    public fun applyAndConfirm(changes: PublishedChanges?, atMillis: Long): Boolean {
+    internal fun applyAndConfirm(changes: PublishedChanges?, atMillis: Long): Confirmation {
         knownState.freshness.noteReturn(atMillis)
-        changes?.let(::apply)
-        return knownState.freshness.confirmed(atMillis)
+        val changed = changes?.let(::apply) ?: 0
+        return Confirmation(changed, knownState.freshness.confirmed(atMillis))
     }
 
     private fun decodedOrNull(item: PublishedItem): StateItem? =
--- a/gateway/src/main/kotlin/pistachiopass/gateway/state/StateWatch.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/state/StateWatch.kt
@@ -9,10 +9,12 @@
 import pistachiopass.entry.logging.EventLog
 import pistachiopass.entry.logging.field
 import pistachiopass.entry.logging.log
+import pistachiopass.entry.logging.tokenField
 import pistachiopass.gateway.StateProblem
 import pistachiopass.gateway.StateSource
 import pistachiopass.gateway.repeatUntilCancelled
 import pistachiopass.published.PublishedChanges
+import pistachiopass.published.Revision
 
 /** Applies what [source] publishes to [state] while [run] is active and the watch is wanted. */
 internal class StateWatch(
@@ -53,7 +55,7 @@
             if (position == null) source.readAll(state.position) else source.changesAfter(position, waitMillis)
         return result.mapBoth(
             success = {
-                succeeded(it, requestedAtMillis)
+                succeeded(it, position, requestedAtMillis)
                 if (it.items.isEmpty()) 0 else GATHER_MILLIS
             },
             failure = {
@@ -67,14 +69,28 @@
      * Confirms the state only as of the time of the request: a watch connection may stop delivering changes long before
      * it breaks.
      */
-    private fun succeeded(changes: PublishedChanges, requestedAtMillis: Long) {
+    private fun succeeded(changes: PublishedChanges, asked: Revision?, requestedAtMillis: Long) {
         if (failures > 0) log.log(Event.PLATFORM_BACK, field("failures", failures))
         failures = 0
         needsAll = false
-        state.applyAndConfirm(changes, requestedAtMillis)
+        if (asked != null && changes.position < asked) logBehind(changes.position, asked)
+        val before = state.position
+        val changed = state.applyAndConfirm(changes, requestedAtMillis).changed
+        if (changes.isFull) logRead(changes, before, changed)
         onConfirmed()
     }
 
+    private fun logBehind(position: Revision, asked: Revision): Unit =
+        log.log(Event.STATE_BEHIND, tokenField("position", "$position"), tokenField("asked", "$asked"))
+
+    private fun logRead(read: PublishedChanges, before: Revision?, changed: Int): Unit = log.log(
+        Event.STATE_READ,
+        tokenField("before", before?.toString() ?: "none"),
+        tokenField("position", "${read.position}"),
+        field("items", read.items.size),
+        field("changed", changed),
+    )
+
     private fun failed(problem: StateProblem) {
         val isChangeLost = problem == StateProblem.HISTORY_GONE || problem == StateProblem.UNKNOWN_CHANGE
         needsAll = needsAll || isChangeLost
@@ -82,6 +98,7 @@
             log.log(
                 Event.PLATFORM_UNREACHABLE,
                 field("problem", problem),
+                tokenField("position", state.position?.toString() ?: "none"),
                 field("proofAgeMillis", state.knownState.freshness.ageMillisOrNull() ?: -1),
             )
         }
