Begin the nonces of subscriptions at random

What a restarted instance may do: count its state as younger than it is, by the answer that a source still gives to a subscription of the process before it. Cause: nonces began at 1 in each process, while the host stays the same, and a source answers a subscription for 3.5 s. Change: the first nonce is random.

--- a/coordination/src/main/kotlin/pistachiopass/published/FeedSubscriptions.kt
+++ b/coordination/src/main/kotlin/pistachiopass/published/FeedSubscriptions.kt
@@ -8,11 +8,14 @@
  */
 package pistachiopass.published
 
+import kotlin.random.Random
+
 /** Makes subscriptions, and interprets the updates that answer them. Confined to one thread. */
 public class FeedSubscriptions<S : Any>(
     /** A clock that advances also while the process or the machine is paused. */
     private val nowMillis: () -> Long,
     private val renewalMillis: Long = RENEWAL_MILLIS,
+    random: Random = Random.Default,
 ) {
     private class Subscription(val source: Any, val sentMillis: Long)
 
@@ -20,7 +23,9 @@
 
     private val subscriptions = LinkedHashMap<Long, Subscription>()
     private val sources = HashMap<S, Source>()
-    private var lastNonce = 0L
+
+    /** Sources may still answer the subscriptions of a process that ran at this host before. */
+    private var lastNonce = random.nextLong(NONCES)
 
     /** Subscribes to [wanted], in place of other sources, and returns the subscriptions to send now. */
     public fun subscribe(wanted: Collection<S>, position: Revision?): List<Pair<S, FeedSubscription>> {
@@ -66,5 +71,8 @@
 /** Time without an update after which a source is silent; it sends one for each confirmation of its state. */
 private const val SILENT_MILLIS: Long = 1_000
 
+/** First nonces, so many that those of two processes do not meet. */
+private const val NONCES: Long = 1L shl 62
+
 /** Subscriptions that are remembered; a source answers one until it has the next. */
 private const val SUBSCRIPTIONS_MAX: Int = 64
--- a/coordination/src/test/kotlin/pistachiopass/published/FeedSimulation.kt
+++ b/coordination/src/test/kotlin/pistachiopass/published/FeedSimulation.kt
@@ -80,7 +80,7 @@
     private var isCalling = false
     private val duty = WatchDuty(host, fleet.dataCentreOf(host), { network.nowMillis }, network.random)
     private val feed = StateFeed<String>(log, ::ageMillis, { network.nowMillis })
-    private val subscriptions = FeedSubscriptions<String>({ network.nowMillis })
+    private val subscriptions = FeedSubscriptions<String>({ network.nowMillis }, random = network.random)
 
     /** Claims of freshness that the store contradicts. */
     val falseClaims = ArrayList<String>()
