Ignore removed items in an older state of another instance

What callers could see: requests to an endpoint that had left, for as long as the instance ran. Cause: an item that is not known was applied from wherever it came. An instance that starts reads the store, where the endpoint is gone, and then gets the state or the changes of another that is behind and still lists it; its removal is before the position of the reader, so nothing removes it again. Change: an item that is not known, though it is of before the position, counts as removed unless it is in a full state at that position or later. Measured: the case in PublishedLogTest gave a@3 before, and nothing now.

--- a/coordination/src/main/kotlin/pistachiopass/published/PublishedLog.kt
+++ b/coordination/src/main/kotlin/pistachiopass/published/PublishedLog.kt
@@ -25,7 +25,8 @@
     /** Applies [changes] and returns what they changed here, with a tombstone for each item that no longer exists. */
     public fun apply(changes: PublishedChanges): List<PublishedItem> {
         require(changes.isFull || position != null) { "changes up to ${changes.position} need a full state first" }
-        val applied = changes.items.filterTo(ArrayList(), ::put)
+        val isNewest = changes.isFull && (position?.let { changes.position >= it } ?: true)
+        val applied = changes.items.filterTo(ArrayList()) { isNews(it, isNewest) && put(it) }
         if (changes.isFull) unlistedIn(changes).filterTo(applied, ::put)
         position = maxOf(position ?: changes.position, changes.position)
         if (horizon == null) horizon = changes.position
@@ -43,6 +44,10 @@
         return PublishedChanges(known, isFull = false, items)
     }
 
+    /** An item that is not known, though it is of before the position, has been removed since unless [isNewest]. */
+    private fun isNews(item: PublishedItem, isNewest: Boolean): Boolean =
+        isNewest || item.key in itemsByKey || position?.let { item.revision > it } ?: true
+
     private fun put(item: PublishedItem): Boolean {
         val known = itemsByKey[item.key]
         if (known != null && item.revision <= known.revision) return false
--- a/coordination/src/test/kotlin/pistachiopass/published/PublishedLogTest.kt
+++ b/coordination/src/test/kotlin/pistachiopass/published/PublishedLogTest.kt
@@ -36,6 +36,10 @@
             changes(6, item("a", 6, isRemoved = true))
             all(4, item("a", 3))
         },
+        LogCase("an old full state does not bring back what was removed before it was known", "") {
+            all(6, item("b", 6))
+            all(4, item("a", 3))
+        },
         LogCase("a reader at the position gets nothing", "9: ") {
             changes(9, item("a", 3))
             read(9)
