Order positions by era and revision, and believe nothing older after a return

Cause: the log ignored every item whose revision was not above the known one, and its position never went back. A store that returns from an older copy gives revisions out again; what is written again was ignored, and each watch got 410 and a full read. It is the class of a number from outside that is taken as never falling. Change: a position is an era and a revision. A later era is entered with a full read at once; a lower position is an answer from the past, which is not applied and confirms nothing. An instance that starts asks others what they hold. The adapter alone knows the header.

--- a/coordination/src/main/kotlin/pistachiopass/published/FeedSubscriptions.kt
+++ b/coordination/src/main/kotlin/pistachiopass/published/FeedSubscriptions.kt
@@ -19,7 +19,9 @@
 ) {
     private class Subscription(val source: Any, val sentMillis: Long)
 
-    private class Source(var subscribedMillis: Long, val sinceMillis: Long, var answeredMillis: Long?)
+    private class Source(var subscribedMillis: Long, val sinceMillis: Long, var answeredMillis: Long?) {
+        var era: Long? = null
+    }
 
     private val subscriptions = LinkedHashMap<Long, Subscription>()
     private val sources = HashMap<S, Source>()
@@ -30,7 +32,7 @@
     /** Subscribes to [wanted], in place of other sources, and returns the subscriptions to send now. */
     public fun subscribe(wanted: Collection<S>, position: Revision?): List<Pair<S, FeedSubscription>> {
         sources.keys.retainAll(wanted.toSet())
-        return wanted.filter(::isDue).map { it to subscriptionOf(it, position) }
+        return wanted.filter { isDue(it, position?.era) }.map { it to subscriptionOf(it, position) }
     }
 
     /** Is true if [source] was asked some time ago and has not sent an update since or lately. */
@@ -46,15 +48,19 @@
         return subscription.sentMillis + update.elapsedMillis - update.ageMillis - ROUNDING_MILLIS
     }
 
-    private fun isDue(source: S): Boolean {
+    /** The changes after a position of an earlier era are of no use to this instance any more. */
+    private fun isDue(source: S, era: Long?): Boolean {
         val state = sources[source] ?: return true
         val periodMillis = if (state.answeredMillis == null) FIRST_RENEWAL_MILLIS else renewalMillis
-        return nowMillis() - state.subscribedMillis >= periodMillis
+        val isOfOtherEra = state.era != null && state.era != era
+        return isOfOtherEra || nowMillis() - state.subscribedMillis >= periodMillis
     }
 
     private fun subscriptionOf(source: S, position: Revision?): FeedSubscription {
         val now = nowMillis()
-        sources.getOrPut(source) { Source(now, now, answeredMillis = null) }.subscribedMillis = now
+        val state = sources.getOrPut(source) { Source(now, now, answeredMillis = null) }
+        state.subscribedMillis = now
+        state.era = position?.era
         subscriptions[++lastNonce] = Subscription(source, now)
         while (subscriptions.size > SUBSCRIPTIONS_MAX) subscriptions.remove(subscriptions.keys.first())
         return FeedSubscription(lastNonce, position)
--- a/coordination/src/main/kotlin/pistachiopass/published/ItemOrder.kt
+++ b/coordination/src/main/kotlin/pistachiopass/published/ItemOrder.kt
@@ -6,30 +6,21 @@
  */
 package pistachiopass.published
 
-/** Which of two versions of an item holds. */
-public enum class Precedence {
-    /** The version that was published next. */
-    NEXT,
-
-    /** The known version, until a newer one is published. */
-    KNOWN,
-
-    /** The known version, until the item is published again or would have been. */
-    KNOWN_FOR_NOW,
-}
-
 /** Compares versions of items by their content. */
 public interface ItemOrder {
-    /** Returns whether [known] or [next], a later change in the same era, holds; never [Precedence.KNOWN_FOR_NOW]. */
-    public fun withinEra(known: PublishedItem, next: PublishedItem): Precedence
+    /** Returns whether [next], a later change in the same era, replaces [known]. */
+    public fun isReplaced(known: PublishedItem, next: PublishedItem): Boolean
 
-    /** Returns whether [known], which is of an earlier era, or [next] holds; an item that does not exist is removed. */
-    public fun acrossEras(known: PublishedItem, next: PublishedItem): Precedence
+    /**
+     * Returns for how long [known], which is of an earlier era, is believed against [next], in milliseconds: 0 if
+     * [next] holds at once, [Hold.UNTIL_REPLACED] if only a later change replaces [known].
+     */
+    public fun beliefMillis(known: PublishedItem, next: PublishedItem): Long
 
     /** The version that was published next always holds. */
     public data object ByRevision : ItemOrder {
-        override fun withinEra(known: PublishedItem, next: PublishedItem): Precedence = Precedence.NEXT
+        override fun isReplaced(known: PublishedItem, next: PublishedItem): Boolean = true
 
-        override fun acrossEras(known: PublishedItem, next: PublishedItem): Precedence = Precedence.NEXT
+        override fun beliefMillis(known: PublishedItem, next: PublishedItem): Long = 0
     }
 }
--- a/coordination/src/main/kotlin/pistachiopass/published/PublishedItem.kt
+++ b/coordination/src/main/kotlin/pistachiopass/published/PublishedItem.kt
@@ -24,6 +24,13 @@
     override fun toString(): String = if (era == 0L) "$value" else "$era:$value"
 }
 
+/** Returns the position that [text] states as [Revision.toString] does, or null if it states none. */
+public fun revisionOrNull(text: String): Revision? {
+    val era = if (':' in text) text.substringBefore(':').toLongOrNull() else 0
+    val value = text.substringAfter(':').toLongOrNull()
+    return if (era == null || value == null) null else Revision(value, era)
+}
+
 /**
  * Marks an item that is believed from an earlier era against what the store has in the present one.
  *
@@ -35,7 +42,12 @@
 public class Hold(
     @SerialName("m") public val remainingMillis: Long,
     @SerialName("v") @ByteString public val published: ByteArray?,
-)
+) {
+    public companion object {
+        /** Time of a hold that only a later change of the item ends. */
+        public const val UNTIL_REPLACED: Long = Long.MAX_VALUE
+    }
+}
 
 /**
  * The item [key] as of its last change at [revision]; [value] is null if that change removed it. With a [hold] it is
@@ -51,6 +63,11 @@
 ) {
     public val isRemoved: Boolean get() = value == null
 
+    /** What the store has; null if it has no such item. */
+    internal val published: ByteArray? get() = if (hold == null) value else hold.published
+
+    internal fun isSameAs(other: PublishedItem): Boolean = value.contentEquals(other.value)
+
     override fun toString(): String =
         "$key@$revision${if (isRemoved) " removed" else ""}${if (hold != null) " held" else ""}"
 }
--- a/coordination/src/main/kotlin/pistachiopass/published/PublishedLog.kt
+++ b/coordination/src/main/kotlin/pistachiopass/published/PublishedLog.kt
@@ -1,94 +1,142 @@
 /**
  * The latest version of each published item, from which changes after a position can be read again.
  *
- * Nothing goes back: an item whose revision is not above that of the known one is ignored, from wherever it comes.
- * Removed items are kept as tombstones, so that readers that are behind learn of the removal. Confined to one thread.
+ * Nothing goes back within an era: an item whose position is not above that of the known one is ignored, from wherever
+ * it comes, and so is whatever is of an earlier era. Removed items are kept as tombstones, so that readers that are
+ * behind learn of the removal.
+ *
+ * A later era is entered with all items. One that is the same as before keeps its position of the earlier era, so that
+ * readers which are where this log was need only what differs; see [EraSpans]. What differs is decided by an
+ * [ItemOrder]: a known item that is believed against the store is held, with what the store has beside it.
  */
 package pistachiopass.published
 
-import java.util.TreeMap
-
-/** Holds the items; of removed ones only the latest [tombstonesMax]. */
-public class PublishedLog(private val tombstonesMax: Int = TOMBSTONES_MAX) {
-    private val itemsByKey = HashMap<String, PublishedItem>()
-    private val itemsByRevision = TreeMap<Revision, MutableList<PublishedItem>>()
-    private val tombstones = TreeMap<Revision, Int>()
-    private var tombstoneCount = 0
-
-    /** Position from which all changes are known; tombstones before it were dropped. */
-    private var horizon: Revision? = null
+/** Holds the items; of removed ones only the latest [tombstonesMax]. Confined to one thread. */
+public class PublishedLog(
+    /** A clock for the time for which items are held. */
+    nowMillis: () -> Long,
+    private val order: ItemOrder = ItemOrder.ByRevision,
+    tombstonesMax: Int = TOMBSTONES_MAX,
+) {
+    private val index = ItemIndex(tombstonesMax)
+    private val spans = EraSpans()
+    private val holds = Holds(nowMillis)
 
     /** Position up to which all changes are included, or null while nothing is known. */
     public var position: Revision? = null
         private set
 
+    /** Number of items that are believed against what the store has. */
+    public val heldCount: Int get() = holds.keys.size
+
     /** Applies [changes] and returns what they changed here, with a tombstone for each item that no longer exists. */
     public fun apply(changes: PublishedChanges): List<PublishedItem> {
-        require(changes.isFull || position != null) { "changes up to ${changes.position} need a full state first" }
-        val isNewest = changes.isFull && (position?.let { changes.position >= it } ?: true)
-        val applied = changes.items.filterTo(ArrayList()) { isNews(it, isNewest) && put(it) }
-        if (changes.isFull) unlistedIn(changes).filterTo(applied, ::put)
-        position = maxOf(position ?: changes.position, changes.position)
-        if (horizon == null) horizon = changes.position
-        dropOldTombstones()
+        val known = position
+        require(changes.isFull || known != null) { "changes up to ${changes.position} need a full state first" }
+        if (known != null && changes.position.era < known.era) return emptyList()
+        val isEntered = known != null && changes.position.era > known.era && changes.isFull
+        val isNewest = changes.isFull && (known == null || changes.position >= known)
+        val put: (PublishedItem) -> Boolean =
+            { if (isEntered) enter(it, changes.position) else isNews(it, isNewest) && accept(it) }
+        val applied = changes.items.filterTo(ArrayList(), put)
+        if (changes.isFull) unlistedIn(changes, isEntered).filterTo(applied, put)
+        val next = maxOf(known ?: changes.position, changes.position)
+        if (known?.era != next.era) spans.enter(next, leftAt = known)
+        position = next
+        index.dropOldTombstones()?.let(spans::dropBefore)
         return applied
     }
 
-    /** Returns the changes after [after], or all existing items if [after] is null or older than the known history. */
+    /** Returns the changes after [after], or all items if [after] is null or the changes after it are not known. */
     public fun changesAfter(after: Revision?): PublishedChanges {
         val known = checkNotNull(position) { "no state is known" }
-        if (after == null || after < (horizon ?: known)) {
-            return PublishedChanges(known, isFull = true, itemsByKey.values.filterNot { it.isRemoved })
+        if (after == null || !spans.isKnownSince(after)) {
+            val existing = index.items.filter { !it.isRemoved || it.hold != null }
+            val told = existing.map { holds.told(it, spans.positionIn(known.era, it)) }
+            return PublishedChanges(known, isFull = true, told)
         }
-        val items = itemsByRevision.tailMap(after, false).values.flatten()
-        return PublishedChanges(known, isFull = false, items)
+        return PublishedChanges(known, isFull = false, index.changesAfter(after).map { holds.told(it, it.revision) })
     }
 
-    /** An item that is not known, though it is of before the position, has been removed since unless [isNewest]. */
-    private fun isNews(item: PublishedItem, isNewest: Boolean): Boolean =
-        isNewest || item.key in itemsByKey || position?.let { item.revision > it } ?: true
-
-    private fun put(item: PublishedItem): Boolean {
-        val known = itemsByKey[item.key]
-        if (known != null && item.revision <= known.revision) return false
-        if (known != null) forget(known)
-        itemsByKey[item.key] = item
-        itemsByRevision.getOrPut(item.revision) { ArrayList(1) } += item
-        if (item.isRemoved) count(item.revision, 1)
-        return true
+    /** Returns the items that are believed against what the store has. */
+    public fun held(): List<PublishedItem> = holds.keys.mapNotNull(index::get).map { holds.told(it, it.revision) }
+
+    /**
+     * Applies what another instance in the same era has [held], as far as it is held against what the store has as this
+     * log knows it, and returns what that changed.
+     */
+    public fun believe(held: List<PublishedItem>): List<PublishedItem> = held.filter { item ->
+        val isHeldAgainstThis = item.hold != null && item.published.contentEquals(index[item.key]?.published)
+        isHeldAgainstThis && isNews(item, isNewest = true) && accept(item)
     }
 
-    private fun unlistedIn(full: PublishedChanges): List<PublishedItem> {
-        val listed = full.items.mapTo(HashSet()) { it.key }
-        return itemsByKey.values
-            .filter { !it.isRemoved && it.key !in listed && it.revision <= full.position }
-            .map { PublishedItem(it.key, maxOf(full.position, Revision(it.revision.value + 1)), value = null) }
+    /** Ends the holds whose time is over, and returns the items that thereby become what the store has. */
+    public fun expireHolds(): List<PublishedItem> {
+        val due = holds.due().mapNotNull(index::get)
+        val published = due.map { PublishedItem(it.key, it.revision, it.published) }
+        published.forEach(::replace)
+        return published.filterIndexed { at, item -> !item.isSameAs(due[at]) }
+    }
+
+    /**
+     * Returns whether [item] is later than what is known of it.
+     *
+     * One that is not known, though it is of before the position, has been removed since unless [isNewest]. One that is
+     * held by another instance at the position of the known one comes from an instance that knows better.
+     */
+    private fun isNews(item: PublishedItem, isNewest: Boolean): Boolean {
+        val known = position
+        val before = index[item.key] ?: return isNewest || known == null || item.revision > known
+        val beforePosition = spans.positionIn(known?.era ?: 0, before)
+        val isBetterKnown = item.revision == beforePosition && item.hold != null && before.hold == null
+        return item.revision > beforePosition || isBetterKnown
     }
 
-    private fun forget(item: PublishedItem) {
-        itemsByRevision[item.revision]?.let {
-            it.remove(item)
-            if (it.isEmpty()) itemsByRevision.remove(item.revision)
+    /** Applies a later version of an item; returns whether its value is news. */
+    private fun accept(item: PublishedItem): Boolean {
+        val before = index[item.key]
+        if (before != null && !item.isSameAs(before) && !order.isReplaced(before, item)) {
+            replace(before.heldAgainst(item, Hold.UNTIL_REPLACED, item.revision))
+            return false
         }
-        if (item.isRemoved) count(item.revision, -1)
+        replace(item)
+        return before == null || item.hold == null || !item.isSameAs(before)
     }
 
-    private fun count(revision: Revision, step: Int) {
-        tombstoneCount += step
-        tombstones.merge(revision, step) { before, change -> (before + change).takeIf { it > 0 } }
+    /** Applies [item] of an era that begins here at [start]; returns whether its value is news. */
+    private fun enter(item: PublishedItem, start: Revision): Boolean {
+        val before = index[item.key]
+        if (before != null && item.isSameAs(before)) {
+            if (before.hold != null || item.hold != null) replace(item)
+            return false
+        }
+        val beliefMillis = before?.let { order.beliefMillis(it, item) } ?: 0
+        val isBelieved = before != null && beliefMillis > 0
+        replace(if (before != null && isBelieved) before.heldAgainst(item, beliefMillis, start) else item)
+        return !isBelieved
     }
 
-    private fun dropOldTombstones() {
-        while (tombstoneCount > tombstonesMax) {
-            val oldest = tombstones.firstKey()
-            itemsByRevision[oldest].orEmpty().filter { it.isRemoved }.forEach {
-                forget(it)
-                itemsByKey.remove(it.key)
-            }
-            horizon = maxOf(horizon ?: oldest, oldest)
+    private fun unlistedIn(full: PublishedChanges, isEntered: Boolean): List<PublishedItem> {
+        val listed = full.items.mapTo(HashSet()) { it.key }
+        val unlisted = index.items.filter { it.key !in listed }
+        return if (isEntered) {
+            unlisted.filter { it.value != null || it.published != null }.map { tombstoneOf(it, full.position) }
+        } else {
+            unlisted.filter { it.published != null && spans.positionIn(full.position.era, it) <= full.position }
+                .map { tombstoneOf(it, maxOf(full.position, it.revision.copy(value = it.revision.value + 1))) }
         }
     }
+
+    private fun replace(item: PublishedItem) {
+        index.put(item)
+        holds.record(item)
+    }
 }
 
+private fun PublishedItem.heldAgainst(next: PublishedItem, millis: Long, revision: Revision) =
+    PublishedItem(key, revision, value, Hold(millis, next.published))
+
+private fun tombstoneOf(item: PublishedItem, revision: Revision) = PublishedItem(item.key, revision, value = null)
+
 /** Removed items that are remembered: several times the engines of a large fleet, so few readers need all items. */
 private const val TOMBSTONES_MAX: Int = 8_192
--- a/coordination/src/main/kotlin/pistachiopass/published/StateFeed.kt
+++ b/coordination/src/main/kotlin/pistachiopass/published/StateFeed.kt
@@ -24,8 +24,7 @@
 /**
  * The state of a source, [elapsedMillis] after it received the subscription [nonce].
  *
- * The state was current [ageMillis] ago. [items] are the changes after [base]; a reader that is not at [base] or beyond
- * fetches the changes that it lacks.
+ * The state was current [ageMillis] ago. [items] are the changes after [base]; see [actionOf] for who may apply them.
  */
 @Serializable
 public class FeedUpdate(
@@ -91,7 +90,10 @@
         )
     }
 
-    private fun bytesOf(item: PublishedItem): Int = item.key.length + (item.value?.size ?: 0) + ITEM_OVERHEAD_BYTES
+    private fun bytesOf(item: PublishedItem): Int {
+        val valueBytes = (item.value?.size ?: 0) + (item.hold?.published?.size ?: 0)
+        return item.key.length + valueBytes + ITEM_OVERHEAD_BYTES
+    }
 }
 
 /** Encoded size of an item's revision and field names. */
--- a/coordination/src/test/kotlin/pistachiopass/published/FeedSimulation.kt
+++ b/coordination/src/test/kotlin/pistachiopass/published/FeedSimulation.kt
@@ -9,7 +9,7 @@
 import pistachiopass.fleet.VirtualNetwork
 
 /** How a simulated instance deviates from the real one, to show that the checks notice it. */
-internal enum class Defect { NONE, COUNTS_FROM_RECEIPT, NEVER_WATCHES_ITSELF }
+internal enum class Defect { NONE, COUNTS_FROM_RECEIPT, NEVER_WATCHES_ITSELF, KNOWS_NO_ERAS, BELIEVES_THE_COPY }
 
 internal sealed interface FeedMessage {
     class Subscribe(val subscription: FeedSubscription) : FeedMessage
@@ -17,29 +17,6 @@
     class Update(val update: FeedUpdate) : FeedMessage
 }
 
-/** A store whose revision rises by one with each change. */
-internal class SimulatedStore(private val nowMillis: () -> Long) {
-    private val changes = ArrayList<Pair<Long, PublishedItem>>()
-    var calls = 0
-        private set
-
-    val revision: Revision get() = changes.lastOrNull()?.second?.revision ?: Revision(1)
-
-    fun put(key: String, bytes: Int = 50) {
-        changes += nowMillis() to PublishedItem(key, Revision(revision.value + 1), ByteArray(bytes))
-    }
-
-    /** Returns the revision that the store had at [atMillis]. */
-    fun revisionAt(atMillis: Long): Revision =
-        changes.lastOrNull { it.first <= atMillis }?.second?.revision ?: Revision(1)
-
-    fun read(after: Revision?): PublishedChanges {
-        calls++
-        val items = changes.map { it.second }.filter { after == null || it.revision > after }
-        return PublishedChanges(revision, isFull = after == null, items.associateBy { it.key }.values.toList())
-    }
-}
-
 internal class FeedSimulation(private val dataCentres: Int, perDataCentre: Int, seed: Int, lossPercent: Int) {
     val network = VirtualNetwork<String, FeedMessage>(seed, lossPercent)
     val store = SimulatedStore { network.nowMillis }
@@ -52,6 +29,13 @@
     /** The members that an instance takes for live. */
     var membersOf: (String) -> Collection<String> = { instances.keys }
     var defect = Defect.NONE
+        set(value) {
+            field = value
+            store.hasEras = value != Defect.KNOWS_NO_ERAS
+        }
+
+    /** How the instances compare items. */
+    var order: ItemOrder = ItemOrder.ByRevision
 
     fun startAll(spreadMillis: Int = 300) =
         hosts.forEach { host -> network.at(network.random.nextLong(spreadMillis.toLong())) { start(host) } }
@@ -69,7 +53,7 @@
 /** One instance. */
 internal class SimulatedReader(val host: String, private val fleet: FeedSimulation) {
     private val network = fleet.network
-    private val log = PublishedLog()
+    private val log = PublishedLog({ network.nowMillis }, fleet.order)
     private var confirmedMillis: Long? = null
     private var fedMillis = Long.MIN_VALUE
     private var isWatching = false
@@ -78,12 +62,21 @@
     var isOnDuty = false
         private set
     private var isCalling = false
+    private var needsAll = false
+    private var heldAnswers = 0
+
+    /** Values of the items, as far as the instance knows and uses them. */
+    val values = HashMap<String, String?>()
     private val duty = WatchDuty(host, fleet.dataCentreOf(host), { network.nowMillis }, network.random)
     private val feed = StateFeed<String>(log, ::ageMillis, { network.nowMillis })
     private val subscriptions = FeedSubscriptions<String>({ network.nowMillis }, random = network.random)
 
     /** Claims of freshness that the store contradicts. */
     val falseClaims = ArrayList<String>()
+
+    /** Items that were fetched from other instances. */
+    var fetchedItems = 0
+        private set
     val position: Revision? get() = log.position
 
     fun ageMillis(): Long? = confirmedMillis?.let { network.nowMillis - it }
@@ -94,6 +87,8 @@
     }
 
     private fun tick() {
+        log.expireHolds().forEach(::use)
+        if (log.position != null && heldAnswers < HELD_ANSWERS) askForHeld()
         val (local, others) = (fleet.membersOf(host) - host)
             .partition { fleet.dataCentreOf(it) == fleet.dataCentreOf(host) }
         val isFed = network.nowMillis - fedMillis <= FED_MILLIS
@@ -110,19 +105,21 @@
     private fun call() {
         isCalling = true
         val requestedMillis = network.nowMillis
-        val after = log.position
+        val after = log.position.takeUnless { needsAll }
         poll(requestedMillis, after, endMillis = if (after == null) requestedMillis else requestedMillis + WATCH_MILLIS)
     }
 
     private fun poll(requestedMillis: Long, after: Revision?, endMillis: Long) {
         when {
             fleet.isStoreAway(host) -> network.at(network.nowMillis + TIMEOUT_MILLIS) { isCalling = false }
-            after != null && fleet.store.revision <= after && network.nowMillis < endMillis ->
+            after != null && fleet.store.isUnchanged(after) && network.nowMillis < endMillis ->
                 network.at(network.nowMillis + POLL_MILLIS) { poll(requestedMillis, after, endMillis) }
             else -> {
-                val changes = fleet.store.read(after)
-                confirm(changes, requestedMillis)
-                network.at(network.nowMillis + if (changes.items.isEmpty()) 0 else GATHER_MILLIS) {
+                val changes = fleet.store.readOrNull(after)
+                needsAll = changes == null
+                if (changes != null) confirm(changes, requestedMillis)
+                val gatherMillis = if (changes?.items.isNullOrEmpty()) 0 else GATHER_MILLIS
+                network.at(network.nowMillis + if (changes == null) RESPONSE_MILLIS else gatherMillis) {
                     isCalling = false
                     if (isWatching) call()
                 }
@@ -130,6 +127,19 @@
         }
     }
 
+    private fun askForHeld() {
+        val source = (fleet.membersOf(host) - host).randomOrNull(network.random) ?: return
+        network.at(network.nowMillis + FETCH_MILLIS) {
+            val isCut = network.isCut(host, source) || network.isCut(source, host)
+            val other = fleet.instances[source]?.log?.takeUnless { isCut || it.position == null }
+            val known = log.position
+            if (other != null && known != null && checkNotNull(other.position).era >= known.era) {
+                heldAnswers++
+                if (other.position?.era == known.era) log.believe(other.held()).forEach(::use)
+            }
+        }
+    }
+
     private fun receive(sender: String, message: FeedMessage) {
         when (message) {
             is FeedMessage.Subscribe ->
@@ -142,37 +152,57 @@
         val confirmed = subscriptions.confirmedMillisOrNull(source, update) ?: return
         val isDefect = fleet.defect == Defect.COUNTS_FROM_RECEIPT
         val claimed = if (isDefect) network.nowMillis - update.ageMillis else confirmed
-        val position = log.position
-        if (position != null && position >= update.base) {
-            fedMillis = maxOf(fedMillis, claimed)
-            confirm(PublishedChanges(update.position, isFull = false, update.items), claimed)
-        } else {
-            fetch(source)
+        take(source, PublishedChanges(update.position, isFull = false, update.items), update.base, claimed)
+    }
+
+    private fun take(source: String, changes: PublishedChanges, base: Revision?, confirmedMillis: Long) {
+        when (actionOf(log.position, base, changes.position)) {
+            FeedAction.FETCH -> fetch(source)
+            FeedAction.IGNORE -> Unit
+            FeedAction.APPLY -> confirmAsFed(changes, confirmedMillis)
+            FeedAction.CONFIRM ->
+                confirmAsFed(PublishedChanges(changes.position, isFull = false, emptyList()), confirmedMillis)
         }
     }
 
+    private fun confirmAsFed(changes: PublishedChanges, confirmedMillis: Long) {
+        fedMillis = maxOf(fedMillis, confirmedMillis)
+        confirm(changes, confirmedMillis)
+    }
+
     /** Reads what is missing from [source] within a round trip. */
     private fun fetch(source: String) {
         val requestedMillis = network.nowMillis
+        val base = log.position
         network.at(requestedMillis + FETCH_MILLIS) {
             val isCut = network.isCut(host, source) || network.isCut(source, host)
             val other = fleet.instances[source]?.takeUnless { isCut }
             val age = other?.ageMillis()
             if (other != null && age != null) {
-                fedMillis = maxOf(fedMillis, requestedMillis - age)
-                confirm(other.log.changesAfter(log.position), requestedMillis - age)
+                val changes = other.log.changesAfter(base)
+                fetchedItems += changes.items.size
+                network.at(network.nowMillis + FETCH_MILLIS) {
+                    take(source, changes, base.takeUnless { changes.isFull }, requestedMillis - age)
+                }
             }
         }
     }
 
+    private fun apply(changes: PublishedChanges) = log.apply(changes).forEach(::use)
+
+    private fun use(item: PublishedItem) {
+        values[item.key] = item.value?.decodeToString()
+    }
+
     private fun confirm(changes: PublishedChanges, atMillis: Long) {
         val positionBefore = log.position
-        log.apply(changes)
+        if (positionBefore != null && changes.position.era < positionBefore.era) return
+        apply(changes)
         val before = confirmedMillis
         val isNews = before == null || atMillis > before
         if (isNews) {
             confirmedMillis = atMillis
-            val due = fleet.store.revisionAt(atMillis)
+            val due = fleet.store.positionAt(atMillis)
             val position = checkNotNull(log.position)
             if (position < due) falseClaims += "$host: $position at $atMillis, but it was $due"
         }
@@ -188,3 +218,5 @@
 private const val TIMEOUT_MILLIS = 700L
 private const val FETCH_MILLIS = 8L
 private const val FED_MILLIS = 1_500L
+private const val RESPONSE_MILLIS = 4L
+private const val HELD_ANSWERS = 2
--- a/coordination/src/test/kotlin/pistachiopass/published/PublishedLogTest.kt
+++ b/coordination/src/test/kotlin/pistachiopass/published/PublishedLogTest.kt
@@ -76,7 +76,7 @@
     @TestFactory
     fun `changes are applied and read again`(): List<DynamicTest> = cases.map { case ->
         DynamicTest.dynamicTest(case.name) {
-            val log = PublishedLog(tombstonesMax = 10)
+            val log = PublishedLog({ 0 }, tombstonesMax = 10)
             if (!case.name.contains("history") && !case.name.contains("dropped")) log.all(1)
             assertEquals(case.expected, log.run(case.run))
         }
--- a/entry/src/main/kotlin/pistachiopass/entry/logging/Event.kt
+++ b/entry/src/main/kotlin/pistachiopass/entry/logging/Event.kt
@@ -69,6 +69,16 @@
         Level.WARN,
         "The store answered with an older position than the one that was asked for; both are given.",
     ),
+    STORE_ERA_CHANGED(
+        number = 2017,
+        Level.WARN,
+        "The store returned from an older copy; both positions, and how much changed and is held, are given.",
+    ),
+    STORE_HOLDS_ENDED(
+        number = 2018,
+        Level.INFO,
+        "Items that were believed against the store were not published again in time; what the store has holds.",
+    ),
 
     ROUTE_CHOSEN(number = 3001, Level.INFO, "A request matched a route."),
     NO_ROUTE(number = 3002, Level.WARN, "A request matched no route."),
--- a/gateway/src/main/kotlin/pistachiopass/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/Gateway.kt
@@ -215,7 +215,8 @@
 
     private fun isReady(): Boolean {
         val isTableCurrent = knownState.table != null && !knownState.isTableOutdated
-        return !isStopping && isWarm && isTableCurrent && knownState.freshness.isWithin(READY_STATE_AGE_MAX_MILLIS)
+        val isCurrent = isTableCurrent && knownState.freshness.isWithin(READY_STATE_AGE_MAX_MILLIS)
+        return !isStopping && isWarm && isCurrent && peers.isStartDone
     }
 
     private fun callerLimits(): CallerLimits =
--- a/gateway/src/main/kotlin/pistachiopass/gateway/PlatformInterfaces.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/PlatformInterfaces.kt
@@ -104,8 +104,7 @@
 
     /**
      * Returns the changes after [after], once there is one or [waitMillis] have passed; fails with
-     * [StateProblem.ERA_CHANGED] if the store is in a later era, and with [StateProblem.OUTDATED] if the response is of
-     * an earlier era or revision than [after].
+     * [StateProblem.ERA_CHANGED] if the store is in a later era.
      */
     public suspend fun changesAfter(after: Revision, waitMillis: Long): Result<PublishedChanges, StateProblem>
 
--- a/gateway/src/main/kotlin/pistachiopass/gateway/http/HttpClient.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/http/HttpClient.kt
@@ -6,14 +6,16 @@
 import io.netty.channel.EventLoop
 import io.netty.handler.codec.http.DefaultHttpRequest
 import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpVersion
 import kotlinx.coroutines.withTimeoutOrNull
 import pistachiopass.gateway.model.Address
 import pistachiopass.gateway.state.AgeClock
 
 /** A response that was received in full. */
-public class HttpClientResponse(public val status: Int, public val body: ByteArray)
+public class HttpClientResponse(public val status: Int, public val headers: HttpHeaders, public val body: ByteArray)
 
 /** Makes calls over pooled connections; a response with a body of more than [bodyBytesMax] fails. */
 public class HttpClient internal constructor(
@@ -60,17 +62,18 @@
     }
 
     private suspend fun receiveOrNull(connection: UpstreamConnection): HttpClientResponse? {
-        var status = 0
+        var head: HttpResponse? = null
         val body = Unpooled.buffer()
         var part = connection.receive()
         while (part !is ResponsePart.End && part !is ResponsePart.Failed && body.readableBytes() <= bodyBytesMax) {
-            if (part is ResponsePart.Head) status = part.response.status().code()
+            if (part is ResponsePart.Head) head = part.response
             if (part is ResponsePart.Data) append(body, part.bytes)
             part = connection.receive()
         }
         if (part is ResponsePart.Data) part.bytes.release()
-        if (part !is ResponsePart.End) return null
-        return HttpClientResponse(status, ByteArray(body.readableBytes()).also(body::readBytes))
+        if (part !is ResponsePart.End || head == null) return null
+        val bytes = ByteArray(body.readableBytes()).also(body::readBytes)
+        return HttpClientResponse(head.status().code(), head.headers(), bytes)
     }
 
     private fun append(body: ByteBuf, bytes: ByteBuf) {
--- a/gateway/src/main/kotlin/pistachiopass/gateway/model/Endpoints.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/model/Endpoints.kt
@@ -31,6 +31,8 @@
     val isDraining: Boolean,
     /** Remaining duration of the cold start at the time of publication. */
     val coldRemainingMillis: Long,
+    /** Number of the report among those of its incarnation, or null if it states none. */
+    val sequence: Long? = null,
 )
 
 private const val PORT_MAX: Int = 65_535
--- a/gateway/src/main/kotlin/pistachiopass/gateway/peers/Peers.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/peers/Peers.kt
@@ -80,6 +80,9 @@
         }
     }
 
+    /** Whether others were asked at the start for what they know beyond the store, or there was time for it. */
+    val isStartDone: Boolean get() = exchange.isStartDone
+
     /** Tells others that this instance stops. */
     fun leave(): Unit = send(membership.leave())
 
@@ -91,6 +94,9 @@
     override suspend fun fetchOrNull(source: MemberHost): PeerState? =
         context.states.fetchOrNull(Address(source.value, control.port), context.state.position)
 
+    override suspend fun fetchHeldOrNull(source: MemberHost): PeerState? =
+        context.states.fetchHeldOrNull(Address(source.value, control.port))
+
     private fun logChanges() {
         val live = membership.live.mapTo(HashSet()) { it.host }
         (live - loggedPeers).forEach {
--- a/gateway/src/main/kotlin/pistachiopass/gateway/peers/StateExchange.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/peers/StateExchange.kt
@@ -20,14 +20,17 @@
 import pistachiopass.membership.GossipMembership
 import pistachiopass.membership.Member
 import pistachiopass.membership.MemberHost
+import pistachiopass.published.FeedAction
 import pistachiopass.published.FeedSubscription
 import pistachiopass.published.FeedSubscriptions
 import pistachiopass.published.FeedUpdate
 import pistachiopass.published.PublishedChanges
+import pistachiopass.published.Revision
 import pistachiopass.published.StateFeed
 import pistachiopass.published.WatchDuty
 import pistachiopass.published.WatchPeers
 import pistachiopass.published.WatchPlan
+import pistachiopass.published.actionOf
 
 /** Sends the messages of a [StateExchange]. */
 internal interface StateLinks {
@@ -37,6 +40,9 @@
 
     /** Returns what [source] has beyond the position of this instance, or null if it did not respond in time. */
     suspend fun fetchOrNull(source: MemberHost): PeerState?
+
+    /** Returns what [source] believes against the store, or null if it did not respond in time. */
+    suspend fun fetchHeldOrNull(source: MemberHost): PeerState?
 }
 
 /** The published state [changes] of another instance, which was current [ageMillis] before its response. */
@@ -65,6 +71,10 @@
     private var watchPeers = WatchPeers<MemberHost>(emptyList(), emptyList())
     private var fedMillis = Long.MIN_VALUE
     private var isFetching = false
+    private val start = StartExchange(state, links, clock, scope)
+
+    /** Whether others were asked for what they know beyond the store, or there was time for it. */
+    val isStartDone: Boolean get() = start.isDone
 
     init {
         watch.onConfirmed = ::updateReaders
@@ -72,6 +82,8 @@
 
     /** Renews the subscriptions, and starts or stops the own watch; to be called several times a second. */
     fun tick() {
+        state.expireHolds()
+        start.tick(membership.live.map { it.host })
         val isFed = clock.nowMillis() - fedMillis <= FED_MILLIS
         val next = duty.plan(watchPeers(), freshness.ageMillisOrNull(), isFed, subscriptions::isSilent)
         if (next.watchesStore != plan.watchesStore) {
@@ -105,11 +117,16 @@
 
     fun onUpdate(source: MemberHost, update: FeedUpdate) {
         val confirmedMillis = subscriptions.confirmedMillisOrNull(source, update) ?: return
-        val position = state.position
-        if (position != null && position >= update.base) {
-            apply(PublishedChanges(update.position, isFull = false, update.items), confirmedMillis)
-        } else {
-            fetch(source)
+        apply(PublishedChanges(update.position, isFull = false, update.items), update.base, confirmedMillis, source)
+    }
+
+    /** Applies the [changes] after [base] that [source] told, or fetches them again if more than these are missing. */
+    private fun apply(changes: PublishedChanges, base: Revision?, confirmedMillis: Long, source: MemberHost) {
+        when (actionOf(state.position, base, changes.position)) {
+            FeedAction.APPLY -> apply(changes, confirmedMillis)
+            FeedAction.CONFIRM -> apply(changes.withoutItems(), confirmedMillis)
+            FeedAction.FETCH -> fetch(source)
+            FeedAction.IGNORE -> Unit
         }
     }
 
@@ -117,16 +134,20 @@
         if (isFetching) return
         isFetching = true
         val requestedAtMillis = clock.nowMillis()
+        val base = state.position
         scope.launch {
-            try {
-                val peerState = links.fetchOrNull(source)
-                when {
-                    peerState == null -> EventLog.log(Event.STATE_NOT_FETCHED, tokenField("peer", source.value))
-                    isUsable(peerState) -> apply(peerState.changes, requestedAtMillis - peerState.ageMillis)
-                }
+            val peerState = try {
+                links.fetchOrNull(source)
             } finally {
                 isFetching = false
             }
+            when {
+                peerState == null -> EventLog.log(Event.STATE_NOT_FETCHED, tokenField("peer", source.value))
+                isUsable(peerState) -> {
+                    val confirmedMillis = requestedAtMillis - peerState.ageMillis
+                    apply(peerState.changes, base.takeUnless { peerState.changes.isFull }, confirmedMillis, source)
+                }
+            }
         }
     }
 
@@ -144,6 +165,8 @@
     private fun updateReaders(): Unit = feed.updates().forEach { (reader, update) -> links.update(reader, update) }
 }
 
+private fun PublishedChanges.withoutItems() = PublishedChanges(position, isFull = false, emptyList())
+
 /** Age up to which the state of other instances alone is fresh; above two long polls of a watcher. */
 private const val FED_MILLIS: Long = 1_500
 
--- a/gateway/src/main/kotlin/pistachiopass/gateway/state/KnownState.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/state/KnownState.kt
@@ -16,7 +16,7 @@
 import pistachiopass.model.UnreadPart
 
 /** Holds the routing table, the endpoints and the evacuated data centres that the store publishes. */
-public class KnownState internal constructor(clock: AgeClock, private val log: EventLog) {
+public class KnownState internal constructor(internal val clock: AgeClock, private val log: EventLog) {
     private val evacuated = HashSet<DataCentreId>()
     private val unreadEndpoints = LinkedHashMap<EndpointId, String>()
 
@@ -40,22 +40,22 @@
     public fun unreadParts(): List<UnreadPart> =
         knownTable.unreadParts() + unreadEndpoints.map { (id, problem) -> UnreadPart(endpointPath(id), problem) }
 
-    /** Applies changed [items]. */
-    public fun apply(items: List<StateItem>) {
+    /** Applies changed [items]; removed entries of endpoints may have lapsed unless [isLapseOver]. */
+    public fun apply(items: List<StateItem>, isLapseOver: Boolean = false) {
         if (items.isEmpty()) return
-        items.forEach(::apply)
+        items.forEach { apply(it, isLapseOver) }
         endpoints.refresh()
     }
 
-    private fun apply(item: StateItem) {
+    private fun apply(item: StateItem, isLapseOver: Boolean) {
         when (item) {
             is StateItem.Table -> knownTable.apply(item)
-            is StateItem.Endpoint -> applyEndpoint(item)
+            is StateItem.Endpoint -> applyEndpoint(item, isLapseOver)
             is StateItem.Evacuation -> applyEvacuation(item)
         }
     }
 
-    private fun applyEndpoint(item: StateItem.Endpoint) {
+    private fun applyEndpoint(item: StateItem.Endpoint, isLapseOver: Boolean) {
         val endpoint = item.endpoint
         val problem = item.problem
         if (problem == null) {
@@ -63,12 +63,14 @@
         } else if (unreadEndpoints.put(item.id, problem) != problem) {
             log.logUnread(UnreadPart(endpointPath(item.id), problem))
         }
-        if (endpoint != null) endpoints.put(item, endpoint) else removeEndpoint(item.id, problem ?: "removed")
+        val mayHaveLapsed = !isLapseOver && freshness.isStoreBackWithin(LAPSE_WINDOW_MILLIS)
+        if (endpoint != null) {
+            endpoints.put(item, endpoint)
+        } else {
+            endpoints.remove(item.id, problem ?: "removed", mayHaveLapsed)
+        }
     }
 
-    private fun removeEndpoint(id: EndpointId, reason: String) =
-        endpoints.remove(id, reason, mayHaveLapsed = freshness.isStoreBackWithin(LAPSE_WINDOW_MILLIS))
-
     private fun applyEvacuation(item: StateItem.Evacuation) {
         if (item.isOut) {
             evacuated += item.dataCentre
--- a/gateway/src/main/kotlin/pistachiopass/gateway/state/PublishedState.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/state/PublishedState.kt
@@ -22,7 +22,7 @@
     private val events: EventLog = EventLog,
     private val decoder: StateDecoder,
 ) {
-    internal val log: PublishedLog = PublishedLog()
+    internal val log: PublishedLog = PublishedLog(knownState.clock::nowMillis, StateItemOrder(::decodedOrNull))
 
     /** Position up to which all changes are applied, or null while nothing is known. */
     public val position: Revision? get() = log.position
@@ -32,21 +32,46 @@
      * being applied.
      */
     public fun apply(changes: PublishedChanges): Int {
+        val before = position
         val changed = log.apply(changes)
         knownState.apply(changed.mapNotNull(::decodedOrNull))
+        if (before != null && changes.position.era > before.era) logEra(before, changed.size)
         return changed.size
     }
 
+    /** Applies what another instance in the same era has [held] against the store. */
+    internal fun believe(held: List<PublishedItem>): Unit =
+        knownState.apply(log.believe(held).mapNotNull(::decodedOrNull))
+
+    /** Lets go of what was believed against the store and was not published again in time. */
+    internal fun expireHolds() {
+        val published = log.expireHolds()
+        if (published.isEmpty()) return
+        events.log(Event.STORE_HOLDS_ENDED, field("items", published.size), field("held", log.heldCount))
+        knownState.apply(published.mapNotNull(::decodedOrNull), isLapseOver = true)
+    }
+
     /**
      * Applies [changes], if there are any, and then confirms the state as of [atMillis] on the age clock. The end of an
-     * outage is noted first, since it decides how removals are taken.
+     * outage is noted first, since it decides how removals are taken. Changes of an earlier era confirm nothing.
      */
     internal fun applyAndConfirm(changes: PublishedChanges?, atMillis: Long): Confirmation {
+        val era = position?.era
+        if (changes != null && era != null && changes.position.era < era) return Confirmation(0, isNews = false)
         knownState.freshness.noteReturn(atMillis)
         val changed = changes?.let(::apply) ?: 0
         return Confirmation(changed, knownState.freshness.confirmed(atMillis))
     }
 
+    private fun logEra(before: Revision, changed: Int): Unit = events.log(
+        Event.STORE_ERA_CHANGED,
+        tokenField("before", "$before"),
+        tokenField("position", "$position"),
+        field("changed", changed),
+        field("held", log.heldCount),
+        field("proofAgeMillis", knownState.freshness.ageMillisOrNull() ?: -1),
+    )
+
     private fun decodedOrNull(item: PublishedItem): StateItem? =
         runCatching { decoder.decodeOrNull(item) }.onFailure { error ->
             events.log(Event.INTERNAL_ERROR, tokenField("item", item.key), field("error", error))
--- a/gateway/src/main/kotlin/pistachiopass/gateway/state/StateWatch.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/state/StateWatch.kt
@@ -1,7 +1,10 @@
 /** Watches the store: reads all published state once if there is none, then waits for changes from its position. */
 package pistachiopass.gateway.state
 
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.andThen
 import com.github.michaelbull.result.mapBoth
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.delay
@@ -49,40 +52,44 @@
     /** Calls the store once; returns the time until the next call. */
     private suspend fun call(): Long {
         val requestedAtMillis = clock.nowMillis()
-        val position = state.position?.takeUnless { needsAll }
+        val known = state.position
         val waitMillis = if (failures > 0) WATCH_AFTER_FAILURE_MILLIS else WATCH_MILLIS
+        val isRead = known == null || needsAll
         val result: Result<PublishedChanges, StateProblem> =
-            if (position == null) source.readAll(state.position) else source.changesAfter(position, waitMillis)
-        return result.mapBoth(
+            if (known == null || isRead) source.readAll(known) else source.changesAfter(known, waitMillis)
+        return result.andThen { notBehind(it, known) }.mapBoth(
             success = {
-                succeeded(it, position, requestedAtMillis)
+                succeeded(it, requestedAtMillis)
                 if (it.items.isEmpty()) 0 else GATHER_MILLIS
             },
             failure = {
-                failed(it)
+                failed(it, isRead)
                 backoffMillis()
             },
         )
     }
 
+    /** A response that is older than what was known when it was asked for says nothing of the present. */
+    private fun notBehind(changes: PublishedChanges, known: Revision?): Result<PublishedChanges, StateProblem> {
+        if (known == null || changes.position >= known) return Ok(changes)
+        log.log(Event.STATE_BEHIND, tokenField("position", "${changes.position}"), tokenField("asked", "$known"))
+        return Err(StateProblem.OUTDATED)
+    }
+
     /**
      * Confirms the state only as of the time of the request: a watch connection may stop delivering changes long before
      * it breaks.
      */
-    private fun succeeded(changes: PublishedChanges, asked: Revision?, requestedAtMillis: Long) {
+    private fun succeeded(changes: PublishedChanges, requestedAtMillis: Long) {
         if (failures > 0) log.log(Event.PLATFORM_BACK, field("failures", failures))
         failures = 0
         needsAll = false
-        if (asked != null && changes.position < asked) logBehind(changes.position, asked)
         val before = state.position
         val changed = state.applyAndConfirm(changes, requestedAtMillis).changed
         if (changes.isFull) logRead(changes, before, changed)
         onConfirmed()
     }
 
-    private fun logBehind(position: Revision, asked: Revision): Unit =
-        log.log(Event.STATE_BEHIND, tokenField("position", "$position"), tokenField("asked", "$asked"))
-
     private fun logRead(read: PublishedChanges, before: Revision?, changed: Int): Unit = log.log(
         Event.STATE_READ,
         tokenField("before", before?.toString() ?: "none"),
@@ -91,9 +98,10 @@
         field("changed", changed),
     )
 
-    private fun failed(problem: StateProblem) {
-        val isChangeLost = problem == StateProblem.HISTORY_GONE || problem == StateProblem.UNKNOWN_CHANGE
+    private fun failed(problem: StateProblem, isRead: Boolean) {
+        val isChangeLost = problem in LOST_CHANGES && !isRead
         needsAll = needsAll || isChangeLost
+        if (isChangeLost && problem == StateProblem.ERA_CHANGED) return
         if (failures == 0 || isChangeLost) {
             log.log(
                 Event.PLATFORM_UNREACHABLE,
@@ -114,6 +122,9 @@
     }
 }
 
+/** Problems of a watch after which all items are read at once. */
+private val LOST_CHANGES = setOf(StateProblem.HISTORY_GONE, StateProblem.UNKNOWN_CHANGE, StateProblem.ERA_CHANGED)
+
 /**
  * Time for which a watch waits for a change. The state gets twice as old before a call without changes confirms it,
  * which stays under the age at which other instances watch the store themselves.
