Show operators the era of the store and what is held against it

After a return of the store from an older copy an operator could not see whether all instances had noticed it, nor what they still believe against it.

--- a/coordination/src/main/kotlin/pistachiopass/status/InstanceStatus.kt
+++ b/coordination/src/main/kotlin/pistachiopass/status/InstanceStatus.kt
@@ -36,6 +36,18 @@
     val heldBytes: Long = 0,
     /** Parts of the published state and of the settings that could not be read. */
     val unread: List<UnreadPart> = emptyList(),
+    /** What is known of the platform's store; null while nothing is. */
+    val store: StoreStatus? = null,
+)
+
+/** Position in the history of the platform's store up to which an instance knows all published items. */
+@Serializable
+public data class StoreStatus(
+    /** Number of times that the store has returned from an older copy. */
+    val era: Long = 0,
+    val revision: Long = 0,
+    /** Items that are believed from an earlier era against what the store has. */
+    val heldItems: Int = 0,
 )
 
 /** State of one published document at the instance. */
--- a/ctl/src/main/kotlin/pistachiopass/ctl/StatusCommand.kt
+++ b/ctl/src/main/kotlin/pistachiopass/ctl/StatusCommand.kt
@@ -9,6 +9,7 @@
 import kotlinx.serialization.builtins.ListSerializer
 import pistachiopass.status.EndpointStatus
 import pistachiopass.status.InstanceStatus
+import pistachiopass.status.StoreStatus
 import pistachiopass.status.TableStatus
 import pistachiopass.tables.isAddress
 
@@ -47,7 +48,7 @@
             "up $uptimeMillis ms, holds $heldBytes bytes",
         "  leases: ${leases.count} for ${leases.tokens} tokens",
         "  ledger: ${ledger.keys} keys in ${ledger.bytes} bytes${if (ledger.sealed) ", sealed" else ""}",
-    ) + tables.map { "  table ${it.line()}" } +
+    ) + listOfNotNull(store?.let { "  store: ${it.line()}" }) + tables.map { "  table ${it.line()}" } +
         unread.map { "  not read: $it" } + endpoints.map { "  endpoint ${it.line()}" } +
         peers.map { peer ->
             val silence = peer.silenceMillis?.let { "heard $it ms ago" } ?: "never heard"
@@ -61,6 +62,9 @@
     return "$name: version $version, $age$refused$outdated"
 }
 
+private fun StoreStatus.line(): String =
+    "era $era, revision $revision" + if (heldItems > 0) ", $heldItems items held from an earlier era" else ""
+
 private fun EndpointStatus.line(): String =
     "$id in $dataCentre: ${state.name.lowercase()}, ${if (cold) "cold" else "warm"}, " +
         "$usedTokens used and $leasedTokens leased of $budgetTokens tokens, $runningRequests requests, " +
--- a/ctl/src/test/kotlin/pistachiopass/ctl/CommandLineTest.kt
+++ b/ctl/src/test/kotlin/pistachiopass/ctl/CommandLineTest.kt
@@ -80,7 +80,10 @@
         val loopback = InetAddress.getLoopbackAddress()
         val tables = """[{"name":"pools","version":7},{"name":"configuration","version":8,"isOutdated":true}]"""
         val unread = """[{"path":"routes[1].pathPrefix","problem":"not-a-string"}]"""
-        val status = """{"instance":"entry-1","dataCentre":"detroit","later":1,"tables":$tables,"unread":$unread}"""
+        val store = """{"era":2,"revision":790,"heldItems":5}"""
+        val status =
+            """{"instance":"entry-1","dataCentre":"detroit","later":1,"tables":$tables,"unread":$unread,""" +
+                """"store":$store}"""
         val healthy = HttpServer.create(InetSocketAddress(loopback, 0), 0)
         healthy.createContext("/status") { exchange ->
             exchange.sendResponseHeaders(200, status.length.toLong())
@@ -100,6 +103,7 @@
             assertContains(run.output, "table pools: version 7, never confirmed\n")
             assertContains(run.output, "table configuration: version 8, never confirmed, outdated")
             assertContains(run.output, "not read: routes[1].pathPrefix: not-a-string")
+            assertContains(run.output, "store: era 2, revision 790, 5 items held from an earlier era")
             assertContains(run.errors, "127.0.0.1:${silent.localPort}: no answer within 3000 ms")
         }
     }
--- a/gateway/src/main/kotlin/pistachiopass/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/Gateway.kt
@@ -157,9 +157,9 @@
         val readiness = ReadinessHandler(wire.readyPath, ::isReady)
         val probes = CallerContext(scope, readiness, { DEFAULT_CALLER_LIMITS }, CallerConnections())
         val loadMetrics = LoadMetrics(SpeedMetrics(speedReports, ::limitOf), demand.counts)
-        val report = InstanceReport(settings, bounds, source, knownState, ::isReady)
+        val report = InstanceReport(settings, bounds, source, state, ::isReady)
         val status = StatusHandler(report::status, PeerStateHandler(state))
-        val control = ControlHandler(quarantine, loadMetrics, report::unreadParts, status)
+        val control = ControlHandler(quarantine, loadMetrics, report, status)
         val readers = CallerContext(scope, control, { DEFAULT_CALLER_LIMITS }, CallerConnections())
         listeners = listOf(
             listen(group, addressOf(settings.callerAddress)) { serveCallers(it, callers) },
--- a/gateway/src/main/kotlin/pistachiopass/gateway/control/ControlHandler.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/control/ControlHandler.kt
@@ -12,7 +12,6 @@
 import pistachiopass.gateway.http.CallerExchange
 import pistachiopass.gateway.http.CallerHandler
 import pistachiopass.model.PromptPartId
-import pistachiopass.model.UnreadPart
 import pistachiopass.quarantine.PartQuarantine
 import pistachiopass.quarantine.QUARANTINE_PATH
 import pistachiopass.quarantine.QuarantinedPart
@@ -21,11 +20,12 @@
 internal class ControlHandler(
     private val quarantine: PartQuarantine,
     private val load: LoadMetrics,
-    unreadParts: () -> List<UnreadPart>,
+    report: InstanceReport,
     private val others: CallerHandler,
 ) : CallerHandler {
     private val metrics = QuarantineMetrics(quarantine)
-    private val unread = UnreadMetrics(unreadParts)
+    private val unread = UnreadMetrics(report::unreadParts)
+    private val store = StoreMetrics(report::store)
 
     override suspend fun serve(exchange: CallerExchange) {
         val path = QueryStringDecoder(exchange.request.uri()).path()
@@ -44,7 +44,7 @@
         }
     }
 
-    private fun scrape(): String = metrics.scrape() + load.scrape() + unread.scrape()
+    private fun scrape(): String = metrics.scrape() + load.scrape() + unread.scrape() + store.scrape()
 
     private fun quarantinedJson(): String =
         Json.encodeToString(ListSerializer(QuarantinedPart.serializer()), quarantine.quarantined())
--- a/gateway/src/main/kotlin/pistachiopass/gateway/state/PublishedState.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/state/PublishedState.kt
@@ -27,6 +27,9 @@
     /** Position up to which all changes are applied, or null while nothing is known. */
     public val position: Revision? get() = log.position
 
+    /** Number of items that are believed against what the store has. */
+    internal val heldCount: Int get() = log.heldCount
+
     /**
      * Applies [changes] and returns how many items they changed; an item that cannot be decoded keeps no other from
      * being applied.
