--- a/coordination/src/main/kotlin/pistachiopass/published/Holds.kt
+++ b/coordination/src/main/kotlin/pistachiopass/published/Holds.kt
@@ -17,10 +17,10 @@
         }
     }
 
-    /** Returns the keys of the items whose hold is over. */
-    fun due(): Set<String> {
+    /** Returns the keys of the items whose hold is over, and forgets these holds. */
+    fun takeDue(): Set<String> {
         val now = nowMillis()
-        return endMillis.filterValues { it <= now }.keys
+        return endMillis.filterValues { it <= now }.keys.also { endMillis.keys -= it }
     }
 
     /** Returns [item] as it is told to others: at [revision], with the time that is left of its hold. */
--- a/coordination/src/main/kotlin/pistachiopass/published/PublishedLog.kt
+++ b/coordination/src/main/kotlin/pistachiopass/published/PublishedLog.kt
@@ -72,7 +72,7 @@
 
     /** Ends the holds whose time is over, and returns the items that thereby become what the store has. */
     public fun expireHolds(): List<PublishedItem> {
-        val due = holds.due().mapNotNull(index::get)
+        val due = holds.takeDue().mapNotNull(index::get)
         val published = due.map { PublishedItem(it.key, it.revision, it.published) }
         published.forEach(::replace)
         return published.filterIndexed { at, item -> !item.isSameAs(due[at]) }
--- a/gateway/src/main/kotlin/pistachiopass/gateway/peers/StartExchange.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/peers/StartExchange.kt
@@ -23,19 +23,27 @@
     private val startedMillis = clock.nowMillis()
     private var stateSinceMillis: Long? = null
     private val answered = HashSet<MemberHost>()
+
+    /** Those that gave no answer; an earlier release gives one that cannot be read. */
+    private val silent = HashSet<MemberHost>()
     private var isAsking = false
-    private var hasAsked = false
 
-    /** Whether others were asked, or there was time for it. */
-    val isDone: Boolean
-        get() = hasAsked || (stateSinceMillis ?: startedMillis) + ANSWER_WAIT_MILLIS <= clock.nowMillis()
+    /** Whether others were asked or gave the first state, or there was time for it. */
+    var isDone: Boolean = false
+        get() = field || (stateSinceMillis ?: startedMillis) + ANSWER_WAIT_MILLIS <= clock.nowMillis()
+        private set
+
+    /** Records that another instance gave the first state, with what it holds. */
+    fun onStateFromPeer() {
+        isDone = true
+    }
 
     /** Asks some of [members], the other live instances, if that is due. */
     fun tick(members: List<MemberHost>) {
         if (state.position == null) return
         val sinceMillis = stateSinceMillis ?: clock.nowMillis().also { stateSinceMillis = it }
         val isOver = answered.size >= ANSWERS || clock.nowMillis() - sinceMillis > ASK_MILLIS
-        val others = members - answered
+        val others = members - answered - silent
         if (isOver || isAsking || others.isEmpty()) return
         isAsking = true
         scope.launch {
@@ -43,17 +51,22 @@
                 others.shuffled().take(ANSWERS - answered.size).forEach { ask(it) }
             } finally {
                 isAsking = false
-                hasAsked = true
+                isDone = true
             }
         }
     }
 
     private suspend fun ask(member: MemberHost) {
-        val answer = links.fetchHeldOrNull(member)?.changes ?: return
-        val era = state.position?.era
-        if (era == null || answer.position.era < era) return
-        answered += member
-        if (answer.position.era == era) state.believe(answer.items)
+        val answer = links.fetchHeldOrNull(member)?.changes
+        val era = state.position?.era ?: return
+        when {
+            answer == null -> silent += member
+            answer.position.era == era -> {
+                answered += member
+                state.believe(answer.items)
+            }
+            answer.position.era > era -> answered += member
+        }
     }
 }
 
--- a/gateway/src/main/kotlin/pistachiopass/gateway/peers/StateExchange.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/peers/StateExchange.kt
@@ -77,13 +77,16 @@
     val isStartDone: Boolean get() = start.isDone
 
     init {
-        watch.onConfirmed = ::updateReaders
+        watch.onConfirmed = {
+            start.tick(others())
+            updateReaders()
+        }
     }
 
     /** Renews the subscriptions, and starts or stops the own watch; to be called several times a second. */
     fun tick() {
         state.expireHolds()
-        start.tick(membership.live.map { it.host })
+        start.tick(others())
         val isFed = clock.nowMillis() - fedMillis <= FED_MILLIS
         val next = duty.plan(watchPeers(), freshness.ageMillisOrNull(), isFed, subscriptions::isSilent)
         if (next.watchesStore != plan.watchesStore) {
@@ -102,6 +105,8 @@
         }
     }
 
+    private fun others(): List<MemberHost> = membership.live.map { it.host }
+
     private fun watchPeers(): WatchPeers<MemberHost> {
         if (membership.live !== knownMembers) {
             knownMembers = membership.live
@@ -156,6 +161,7 @@
         state.position != null || peerState.ageMillis <= FIRST_STATE_AGE_MAX_MILLIS || watch.isFailing
 
     private fun apply(changes: PublishedChanges, confirmedMillis: Long) {
+        if (state.position == null) start.onStateFromPeer()
         fedMillis = maxOf(fedMillis, confirmedMillis)
         val isNew = changes.isFull || changes.items.isNotEmpty() || state.position != changes.position
         val isConfirmed = state.applyAndConfirm(changes.takeIf { isNew }, confirmedMillis).isNews
