Let what is known of a lost change reach instances that were behind, and stay known

What callers could see after a return of the store: requests to endpoints that leave or have left, or to a data centre out of service, though the instance knew better. Cause (review): a full state told unchanged items at the position at which the teller had entered the era, so one that was behind and entered later ended what others held; what is held did not reach instances that had entered by such a one; and an instance that starts was ready once it had asked, whatever came back. A position says nothing of what is believed beside it. An endpoint that leaves is never taken back by an equal sequence. Held removals are not dropped with the tombstones.

--- a/coordination/src/main/kotlin/pistachiopass/published/FeedAction.kt
+++ b/coordination/src/main/kotlin/pistachiopass/published/FeedAction.kt
@@ -6,7 +6,7 @@
     /** Apply them, and take the confirmation that comes with them. */
     APPLY,
 
-    /** The reader has them all: take only the confirmation. */
+    /** The reader has them all: take the confirmation, and what the other believes against the store. */
     CONFIRM,
 
     /** The reader lacks others besides: fetch what it lacks. */
--- a/coordination/src/main/kotlin/pistachiopass/published/ItemIndex.kt
+++ b/coordination/src/main/kotlin/pistachiopass/published/ItemIndex.kt
@@ -19,7 +19,7 @@
     fun put(item: PublishedItem) {
         itemsByKey.put(item.key, item)?.let(::forget)
         itemsByRevision.getOrPut(item.revision) { ArrayList(1) } += item
-        if (item.isRemoved) count(item.revision, 1)
+        if (item.isTombstone) count(item.revision, 1)
     }
 
     /** Returns the items that changed after [after], in the order of their changes. */
@@ -30,7 +30,7 @@
         var last: Revision? = null
         while (tombstoneCount > tombstonesMax) {
             val oldest = tombstones.firstKey()
-            itemsByRevision[oldest].orEmpty().filter { it.isRemoved }.forEach {
+            itemsByRevision[oldest].orEmpty().filter { it.isTombstone }.forEach {
                 forget(it)
                 itemsByKey.remove(it.key)
             }
@@ -44,7 +44,7 @@
             it.remove(item)
             if (it.isEmpty()) itemsByRevision.remove(item.revision)
         }
-        if (item.isRemoved) count(item.revision, -1)
+        if (item.isTombstone) count(item.revision, -1)
     }
 
     private fun count(revision: Revision, step: Int) {
@@ -52,3 +52,6 @@
         tombstones.merge(revision, step) { before, change -> (before + change).takeIf { it > 0 } }
     }
 }
+
+/** One that is held has to be known until what the store has holds again. */
+private val PublishedItem.isTombstone: Boolean get() = isRemoved && hold == null
--- a/coordination/src/main/kotlin/pistachiopass/published/PublishedLog.kt
+++ b/coordination/src/main/kotlin/pistachiopass/published/PublishedLog.kt
@@ -22,6 +22,9 @@
     private val spans = EraSpans()
     private val holds = Holds(nowMillis)
 
+    /** Keys of the items whose hold has ended in this era; others may still hold them. */
+    private val endedHolds = HashSet<String>()
+
     /** Position up to which all changes are included, or null while nothing is known. */
     public var position: Revision? = null
         private set
@@ -41,7 +44,11 @@
         val applied = changes.items.filterTo(ArrayList(), put)
         if (changes.isFull) unlistedIn(changes, isEntered).filterTo(applied, put)
         val next = maxOf(known ?: changes.position, changes.position)
-        if (known?.era != next.era) spans.enter(next, leftAt = known)
+        if (known?.era != next.era) {
+            spans.enter(next, leftAt = known)
+            endedHolds.clear()
+            if (!isEntered) renewHolds()
+        }
         position = next
         index.dropOldTombstones()?.let(spans::dropBefore)
         return applied
@@ -58,8 +65,9 @@
         return PublishedChanges(known, isFull = false, index.changesAfter(after).map { holds.told(it, it.revision) })
     }
 
-    /** Returns the items that are believed against what the store has. */
-    public fun held(): List<PublishedItem> = holds.keys.mapNotNull(index::get).map { holds.told(it, it.revision) }
+    /** The items that are believed against what the store has. */
+    public val held: List<PublishedItem>
+        get() = holds.keys.mapNotNull(index::get).map { holds.told(it, it.revision) }
 
     /**
      * Applies what another instance in the same era has [held], as far as it is held against what the store has as this
@@ -75,32 +83,37 @@
         val due = holds.takeDue().mapNotNull(index::get)
         val published = due.map { PublishedItem(it.key, it.revision, it.published) }
         published.forEach(::replace)
+        published.mapTo(endedHolds) { it.key }
         return published.filterIndexed { at, item -> !item.isSameAs(due[at]) }
     }
 
     /**
-     * Returns whether [item] is later than what is known of it.
+     * Returns whether [item] is later than what is known of it, or the better belief.
      *
-     * One that is not known, though it is of before the position, has been removed since unless [isNewest]. One that is
-     * held by another instance at the position of the known one comes from an instance that knows better.
+     * One that is not known, though it is of before the position, has been removed since unless [isNewest].
      */
     private fun isNews(item: PublishedItem, isNewest: Boolean): Boolean {
         val known = position
         val before = index[item.key] ?: return isNewest || known == null || item.revision > known
-        val beforePosition = spans.positionIn(known?.era ?: 0, before)
-        val isBetterKnown = item.revision == beforePosition && item.hold != null && before.hold == null
-        return item.revision > beforePosition || isBetterKnown
+        val isHeld = item.hold != null || before.hold != null
+        return if (isHeld && item.published.contentEquals(before.published)) {
+            item.key !in endedHolds && order.isBetterBelief(item, before)
+        } else {
+            item.revision > spans.positionIn(known?.era ?: 0, before)
+        }
     }
 
-    /** Applies a later version of an item; returns whether its value is news. */
+    /** Applies a later version of an item, or a better belief; returns whether its value is news. */
     private fun accept(item: PublishedItem): Boolean {
         val before = index[item.key]
         if (before != null && !item.isSameAs(before) && !order.isReplaced(before, item)) {
             replace(before.heldAgainst(item, Hold.UNTIL_REPLACED, item.revision))
             return false
         }
-        replace(item)
-        return before == null || item.hold == null || !item.isSameAs(before)
+        val revision = maxOf(item.revision, before?.revision ?: item.revision)
+        replace(if (revision == item.revision) item else PublishedItem(item.key, revision, item.value, item.hold))
+        val isRepeated = item.hold != null || before != null && before.revision.era < item.revision.era
+        return before == null || !isRepeated || !item.isSameAs(before)
     }
 
     /** Applies [item] of an era that begins here at [start]; returns whether its value is news. */
@@ -110,12 +123,20 @@
             if (before.hold != null || item.hold != null) replace(item)
             return false
         }
-        val beliefMillis = before?.let { order.beliefMillis(it, item) } ?: 0
+        val isHeldRemoval = item.isRemoved && item.hold != null
+        val beliefMillis = before?.takeUnless { isHeldRemoval }?.let { order.beliefMillis(it, item) } ?: 0
         val isBelieved = before != null && beliefMillis > 0
         replace(if (before != null && isBelieved) before.heldAgainst(item, beliefMillis, start) else item)
         return !isBelieved
     }
 
+    /** After another return, what is held needs as long as before to be written again. */
+    private fun renewHolds(): Unit = holds.keys.mapNotNull(index::get).forEach { item ->
+        val published = PublishedItem(item.key, item.revision, item.published)
+        val beliefMillis = order.beliefMillis(item, published)
+        if (beliefMillis > 0) replace(item.heldAgainst(published, beliefMillis, item.revision))
+    }
+
     private fun unlistedIn(full: PublishedChanges, isEntered: Boolean): List<PublishedItem> {
         val listed = full.items.mapTo(HashSet()) { it.key }
         val unlisted = index.items.filter { it.key !in listed }
@@ -136,6 +157,20 @@
 private fun PublishedItem.heldAgainst(next: PublishedItem, millis: Long, revision: Revision) =
     PublishedItem(key, revision, value, Hold(millis, next.published))
 
+/**
+ * Returns whether [item] is to be believed rather than [before], both on top of the same version in the store. Between
+ * two that are held the positions do not tell: they depend on when an instance entered the era.
+ */
+private fun ItemOrder.isBetterBelief(item: PublishedItem, before: PublishedItem): Boolean = when {
+    item.hold == null -> false
+    before.hold == null -> before.revision <= item.revision && !before.isRemovedIn(item.revision.era)
+    item.isRemoved || before.isRemoved -> !before.isRemoved
+    else -> !item.isSameAs(before) && beliefMillis(before, item) == 0L
+}
+
+/** What was removed in an era was not believed any more, or was written again and removed. */
+private fun PublishedItem.isRemovedIn(era: Long): Boolean = isRemoved && revision.era == era
+
 private fun tombstoneOf(item: PublishedItem, revision: Revision) = PublishedItem(item.key, revision, value = null)
 
 /** Removed items that are remembered: several times the engines of a large fleet, so few readers need all items. */
--- a/coordination/src/test/kotlin/pistachiopass/published/FeedSimulation.kt
+++ b/coordination/src/test/kotlin/pistachiopass/published/FeedSimulation.kt
@@ -135,7 +135,7 @@
             val known = log.position
             if (other != null && known != null && checkNotNull(other.position).era >= known.era) {
                 heldAnswers++
-                if (other.position?.era == known.era) log.believe(other.held()).forEach(::use)
+                if (other.position?.era == known.era) log.believe(other.held).forEach(::use)
             }
         }
     }
@@ -160,8 +160,10 @@
             FeedAction.FETCH -> fetch(source)
             FeedAction.IGNORE -> Unit
             FeedAction.APPLY -> confirmAsFed(changes, confirmedMillis)
-            FeedAction.CONFIRM ->
+            FeedAction.CONFIRM -> {
+                log.believe(changes.items).forEach(::use)
                 confirmAsFed(PublishedChanges(changes.position, isFull = false, emptyList()), confirmedMillis)
+            }
         }
     }
 
@@ -188,7 +190,11 @@
         }
     }
 
-    private fun apply(changes: PublishedChanges) = log.apply(changes).forEach(::use)
+    private fun apply(changes: PublishedChanges) {
+        val era = log.position?.era
+        log.apply(changes).forEach(::use)
+        if (era != log.position?.era) heldAnswers = 0
+    }
 
     private fun use(item: PublishedItem) {
         values[item.key] = item.value?.decodeToString()
--- a/gateway/src/main/kotlin/pistachiopass/gateway/peers/PeerStates.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/peers/PeerStates.kt
@@ -42,7 +42,7 @@
     private fun changesFor(uri: String): PublishedChanges {
         val position = checkNotNull(state.position) { "no state is known" }
         val isHeldOnly = uri.endsWith(HELD_QUERY)
-        if (isHeldOnly) return PublishedChanges(position, isFull = false, state.log.held())
+        if (isHeldOnly) return PublishedChanges(position, isFull = false, state.log.held)
         return state.log.changesAfter(revisionOrNull(uri.substringAfter(AFTER_QUERY, "")))
     }
 
--- a/gateway/src/main/kotlin/pistachiopass/gateway/peers/StateExchange.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/peers/StateExchange.kt
@@ -71,14 +71,14 @@
     private var watchPeers = WatchPeers<MemberHost>(emptyList(), emptyList())
     private var fedMillis = Long.MIN_VALUE
     private var isFetching = false
-    private val start = StartExchange(state, links, clock, scope)
+    private val holds = HoldExchange(state, links, clock, scope)
 
     /** Whether others were asked for what they know beyond the store, or there was time for it. */
-    val isStartDone: Boolean get() = start.isDone
+    val isStartDone: Boolean get() = holds.isDone
 
     init {
         watch.onConfirmed = {
-            start.tick(others())
+            holds.tick(others())
             updateReaders()
         }
     }
@@ -86,7 +86,7 @@
     /** Renews the subscriptions, and starts or stops the own watch; to be called several times a second. */
     fun tick() {
         state.expireHolds()
-        start.tick(others())
+        holds.tick(others())
         val isFed = clock.nowMillis() - fedMillis <= FED_MILLIS
         val next = duty.plan(watchPeers(), freshness.ageMillisOrNull(), isFed, subscriptions::isSilent)
         if (next.watchesStore != plan.watchesStore) {
@@ -129,7 +129,10 @@
     private fun apply(changes: PublishedChanges, base: Revision?, confirmedMillis: Long, source: MemberHost) {
         when (actionOf(state.position, base, changes.position)) {
             FeedAction.APPLY -> apply(changes, confirmedMillis)
-            FeedAction.CONFIRM -> apply(changes.withoutItems(), confirmedMillis)
+            FeedAction.CONFIRM -> {
+                state.believe(changes.items)
+                apply(changes.withoutItems(), confirmedMillis)
+            }
             FeedAction.FETCH -> fetch(source)
             FeedAction.IGNORE -> Unit
         }
@@ -161,7 +164,7 @@
         state.position != null || peerState.ageMillis <= FIRST_STATE_AGE_MAX_MILLIS || watch.isFailing
 
     private fun apply(changes: PublishedChanges, confirmedMillis: Long) {
-        if (state.position == null) start.onStateFromPeer()
+        if (state.position == null) holds.onStateFromPeer()
         fedMillis = maxOf(fedMillis, confirmedMillis)
         val isNew = changes.isFull || changes.items.isNotEmpty() || state.position != changes.position
         val isConfirmed = state.applyAndConfirm(changes.takeIf { isNew }, confirmedMillis).isNews
--- a/gateway/src/main/kotlin/pistachiopass/gateway/state/StateItemOrder.kt
+++ b/gateway/src/main/kotlin/pistachiopass/gateway/state/StateItemOrder.kt
@@ -53,7 +53,8 @@
         val knownBornMillis = known.incarnation.bornMillis
         val sequence = next.sequence
         val knownSequence = known.sequence
-        val isLaterReport = sequence != null && knownSequence != null && sequence >= knownSequence
+        val isTakenBack = known.isDraining && !next.isDraining
+        val isLaterReport = sequence != null && knownSequence != null && sequence >= knownSequence && !isTakenBack
         return bornMillis > knownBornMillis || (bornMillis == knownBornMillis && isLaterReport)
     }
 
--- a/gateway/src/test/kotlin/pistachiopass/gateway/state/StateItemOrderTest.kt
+++ b/gateway/src/test/kotlin/pistachiopass/gateway/state/StateItemOrderTest.kt
@@ -35,6 +35,7 @@
         OrderCase("an endpoint that has restarted", endpoint(5), endpoint(0, bornMillis = 2), 0),
         OrderCase("an endpoint of an earlier start", endpoint(0, bornMillis = 2), endpoint(5), SHORT_MILLIS),
         OrderCase("an endpoint that leaves, as ready", endpoint(5, isDraining = true), endpoint(4), SHORT_MILLIS),
+        OrderCase("one that leaves, as ready by its number", endpoint(5, isDraining = true), endpoint(5), SHORT_MILLIS),
         OrderCase("an endpoint listed as leaving", endpoint(null), endpoint(null, isDraining = true), 0),
         OrderCase("an endpoint without numbers of its reports", endpoint(null), endpoint(null), SHORT_MILLIS),
         OrderCase("an endpoint with an unreadable entry", endpoint(5), endpoint(problem = "slots"), SHORT_MILLIS),
